--- /dev/null
+++ b/src/mangopulley/cli/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace mangopulley {
+
+enum class exit_code : int;
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/http/http_message.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include "../core/fwd.hpp"
+
+namespace mangopulley {
+
+/*! @brief Whole request as received from a caller or an operator. */
+struct http_request {
+    Poco::Net::HTTPRequest head{};
+    std::string body{};
+    /*! @brief When the first byte arrived. */
+    time_point received{};
+    /*! @brief Part of the target before the question mark. */
+    std::string path{};
+    /*! @brief Part of the target after the question mark. */
+    std::string query{};
+
+    /*! @brief Returns a header, or nothing when it is absent. */
+    [[nodiscard]] std::optional<std::string> header(const std::string& name) const;
+    /*! @brief Returns the decoded value of a query parameter, or nothing when it is absent. */
+    [[nodiscard]] std::optional<std::string> parameter(std::string_view name) const;
+};
+
+/*! @brief Reply to a request. */
+struct http_reply {
+    struct header {
+        std::string name;
+        std::string value;
+    };
+
+    int status{200};
+    std::string content_type{"application/json"};
+    std::string body{};
+    std::vector<header> headers{};
+};
+
+/*! @brief Bounds of what one connection may cost. */
+struct http_limits {
+    std::size_t longest_head{16'384U};
+    std::size_t longest_body{1'048'576U};
+    std::size_t most_headers{100U};
+    std::size_t most_connections{4'000U};
+    /*! @brief Longest time from the first byte of a request to its last. */
+    milliseconds longest_receive{5'000};
+    /*! @brief Longest time that a connection may stay idle between two requests. */
+    milliseconds longest_idle{60'000};
+    /*! @brief Longest time for sending a reply. */
+    milliseconds longest_send{5'000};
+};
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/observe/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace mangopulley {
+
+class event_log;
+class metrics;
+class state_dump;
+
+} // namespace mangopulley
--- /dev/null
+++ b/test/mangopulley/http/request_parser.cpp
@@ -0,0 +1,100 @@
+#include <string>
+#include <vector>
+
+#include <mangopulley/http/request_parser.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::http_limits;
+using mangopulley::request_parser;
+
+namespace {
+
+struct rejection {
+    const char* fault;
+    std::string bytes;
+    int status;
+};
+
+[[nodiscard]] std::string post(const std::string& headers, const std::string& body = {}) {
+    return "POST /v1/services/proof/kinds/browse HTTP/1.1\r\nHost: entry\r\n" + headers + "\r\n" + body;
+}
+
+} // namespace
+
+TEST_GROUP(request_parser){};
+
+// Guards against requests that other programs on the way would frame differently, and against unbounded memory.
+TEST(request_parser, rejects_each_malformed_request_with_its_status) {
+    const std::vector<rejection> cases{
+        {"two lengths", post("Content-Length: 1\r\nContent-Length: 2\r\n", "ab"), 400},
+        {"two equal lengths", post("Content-Length: 1\r\nContent-Length: 1\r\n", "a"), 400},
+        {"length and chunked", post("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "a"), 400},
+        {"chunked body", post("Transfer-Encoding: chunked\r\n", "0\r\n\r\n"), 411},
+        {"no length", post(""), 411},
+        {"negative length", post("Content-Length: -1\r\n"), 400},
+        {"signed length", post("Content-Length: +1\r\n", "a"), 400},
+        {"length with text", post("Content-Length: 1x\r\n", "a"), 400},
+        {"length beyond 64 bits", post("Content-Length: 99999999999999999999999\r\n"), 400},
+        {"body too long", post("Content-Length: 1048577\r\n"), 413},
+        {"space before colon", post("Content-Length : 1\r\n", "a"), 400},
+        {"folded header", post("X-A: b\r\n c\r\nContent-Length: 0\r\n"), 400},
+        {"header without colon", post("Content-Length 1\r\n"), 400},
+        {"control character", post(std::string{"X-A: \x01\r\nContent-Length: 0\r\n"}), 400},
+        {"bare line feed", "POST / HTTP/1.1\nHost: a\r\n\r\n", 400},
+        {"no host", "GET /v1/addresses HTTP/1.1\r\n\r\n", 400},
+        {"unknown version", "GET / HTTP/3.7\r\nHost: a\r\n\r\n", 400},
+        {"absolute target", "GET http://other/ HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+        {"target too long", "GET /" + std::string(5000U, 'a') + " HTTP/1.1\r\nHost: a\r\n\r\n", 414},
+        {"head too long", "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20000U, 'a'), 431},
+        {"binary noise", std::string(200U, '\x16') + "\r\n\r\n", 400},
+        {"empty method", " / HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+    };
+    for (const auto& item : cases) {
+        request_parser parser{http_limits{}};
+        parser.append(item.bytes);
+        CHECK_TRUE_TEXT(parser.examine() == request_parser::state::rejected, item.fault);
+        CHECK_EQUAL_TEXT(item.status, parser.rejection_status(), item.fault);
+    }
+}
+
+// Guards against a request of many header lines that costs memory for each.
+TEST(request_parser, rejects_too_many_headers) {
+    std::string headers{};
+    for (int index = 0; index < 200; ++index) {
+        headers += "X-" + std::to_string(index) + ": a\r\n";
+    }
+    request_parser parser{http_limits{}};
+    parser.append(post(headers));
+    CHECK_TRUE(parser.examine() == request_parser::state::rejected);
+    CHECK_EQUAL(431, parser.rejection_status());
+}
+
+// Guards against a request that is answered before it has arrived whole, or mixed with the next one.
+TEST(request_parser, takes_two_requests_from_single_bytes) {
+    const auto first = post("Content-Length: 3\r\n", "abc");
+    const auto bytes = first + post("Content-Length: 2\r\n", "de");
+    request_parser parser{http_limits{}};
+    std::vector<std::string> bodies{};
+    for (const char byte : bytes) {
+        parser.append({&byte, 1U});
+        if (parser.examine() == request_parser::state::complete) {
+            bodies.push_back(parser.take().body);
+        }
+    }
+    CHECK_EQUAL(2U, bodies.size());
+    CHECK_TRUE(bodies[0] == "abc");
+    CHECK_TRUE(bodies[1] == "de");
+    CHECK_FALSE(parser.started());
+}
+
+// Guards against query values that are read undecoded or from another parameter.
+TEST(request_parser, reads_query_parameters) {
+    request_parser parser{http_limits{}};
+    parser.append("GET /v1/addresses?xservice=a&service=lot%20payments HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK_TRUE(parser.examine() == request_parser::state::complete);
+    const auto request = parser.take();
+    CHECK_TRUE(request.path == "/v1/addresses");
+    CHECK_TRUE(request.parameter("service") == "lot payments");
+    CHECK_FALSE(request.parameter("kind").has_value());
+}
