Read the process settings with bounds and exact error places

Cause: an entry process needs its settings checked before it opens a port. parse_settings rejects unknown, missing and repeated keys, wrong types, numbers out of range, addresses and URLs of another form, and equal ports. Each error names source, line, field, the value found and what is allowed.

The reader of YAML is core/yaml_value, which the catalogue will use as well.

Ruled out: IPv6 and host names, because addresses are handed out as ip:port; https endpoints, because no TLS library is among the packages; BOOST_LEAF_CHECK, because it expands to a statement expression that clang-tidy rejects.

--- /dev/null
+++ b/src/mangopulley/settings/settings.cpp
@@ -0,0 +1,182 @@
+#include "settings.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/IPAddress.h>
+#include <Poco/URI.h>
+
+#include "../core/yaml_value.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+constexpr yaml_limits settings_limits{65'536U, 1'000U, 8U};
+constexpr std::uint64_t highest_port = 65'535U;
+// A shorter time fails on ordinary delays between zones; a longer one holds a lease renewal past its lease.
+constexpr std::uint64_t shortest_store_timeout = 10U;
+constexpr std::uint64_t longest_store_timeout = 10'000U;
+constexpr std::uint64_t most_workers = 4'096U;
+constexpr std::size_t most_endpoints = 16U;
+constexpr std::array<std::string_view, 5U> log_levels{"trace", "debug", "info", "warn", "error"};
+
+/*! @brief Accepts only the dotted form of four numbers; callers and peers get `ip:port`, which has no IPv6 form. */
+[[nodiscard]] bool is_address(const std::string_view text) {
+    Poco::Net::IPAddress address{};
+    return Poco::Net::IPAddress::tryParse(std::string{text}, address) &&
+           address.family() == Poco::Net::IPAddress::IPv4 && address.toString() == text && !address.isWildcard() &&
+           !address.isBroadcast() && !address.isMulticast();
+}
+
+[[nodiscard]] bool is_endpoint(const std::string_view text) {
+    const auto colon = text.find(':');
+    if (colon == std::string_view::npos || !is_address(text.substr(0U, colon))) {
+        return false;
+    }
+    const auto digits = text.substr(colon + 1U);
+    std::uint16_t port{};
+    const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return fault == std::errc{} && end == digits.data() + digits.size() && port > 0U && digits.front() != '0';
+}
+
+[[nodiscard]] bool is_alert_url(const std::string_view text) {
+    constexpr std::size_t longest_url = 2'048U;
+    const auto plain = [](const char letter) { return letter > ' ' && letter < '\x7F'; };
+    if (text.size() > longest_url || !std::all_of(text.begin(), text.end(), plain)) {
+        return false;
+    }
+    try {
+        const Poco::URI url{std::string{text}};
+        return url.getScheme() == "http" && is_address(url.getHost()) && url.getPort() > 0U &&
+               url.getUserInfo().empty() && url.getFragment().empty();
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
+/*! @brief Reads an identifier into the member given as template argument. */
+template <std::string settings::*Member>
+[[nodiscard]] result<void> read_identifier(const yaml_value& value, settings& target) {
+    BOOST_LEAF_ASSIGN(target.*Member, value.text(is_identifier, identifier_form));
+    return {};
+}
+
+template <std::uint16_t settings::*Member>
+[[nodiscard]] result<void> read_port(const yaml_value& value, settings& target) {
+    return value.read(target.*Member, 1U, highest_port);
+}
+
+[[nodiscard]] result<void> check_ports(const yaml_value& instance, const settings& target) {
+    struct named_port {
+        std::string_view key;
+        std::uint16_t number;
+    };
+    const std::array<named_port, 3U> ports{{{"caller_port", target.caller_port},
+                                            {"operator_port", target.operator_port},
+                                            {"peer_port", target.peer_port}}};
+    for (const auto& child : instance.node().children) {
+        for (const auto& port : ports) {
+            const auto same = std::find_if(ports.begin(), ports.end(), [&port](const named_port& other) {
+                return other.key != port.key && other.number == port.number;
+            });
+            if (child.key == port.key && same != ports.end()) {
+                return instance.fail_at(child.line, "instance." + child.key, child.text,
+                                        "a port other than instance." + std::string{same->key});
+            }
+        }
+    }
+    return {};
+}
+
+[[nodiscard]] result<void> read_ip(const yaml_value& value, settings& target) {
+    BOOST_LEAF_ASSIGN(target.ip, value.text(is_address, "an IPv4 address of one machine, such as 10.0.0.1"));
+    return {};
+}
+
+[[nodiscard]] result<void> read_instance(const yaml_value& value, settings& target) {
+    static constexpr std::array<yaml_field<settings>, 7U> fields{{
+        {"name", true, read_identifier<&settings::instance_name>},
+        {"ip", true, read_ip},
+        {"caller_port", true, read_port<&settings::caller_port>},
+        {"operator_port", true, read_port<&settings::operator_port>},
+        {"peer_port", true, read_port<&settings::peer_port>},
+        {"zone", true, read_identifier<&settings::zone>},
+        {"region", true, read_identifier<&settings::region>},
+    }};
+    if (auto done = value.read_map(target, fields); !done) {
+        return done.error();
+    }
+    return check_ports(value, target);
+}
+
+[[nodiscard]] result<void> read_store_address(const yaml_value& value, settings& target) {
+    BOOST_LEAF_ASSIGN(target.store_address, value.text(is_endpoint, "an IPv4 address and port, such as 10.0.0.1:80"));
+    return {};
+}
+
+[[nodiscard]] result<void> read_store_timeout(const yaml_value& value, settings& target) {
+    BOOST_LEAF_AUTO(count, value.integer(shortest_store_timeout, longest_store_timeout));
+    target.store_timeout = milliseconds{count};
+    return {};
+}
+
+[[nodiscard]] result<void> read_store(const yaml_value& value, settings& target) {
+    static constexpr std::array<yaml_field<settings>, 2U> fields{
+        {{"address", true, read_store_address}, {"timeout_ms", false, read_store_timeout}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_endpoints(const yaml_value& value, settings& target) {
+    BOOST_LEAF_AUTO(items, value.items(1U, most_endpoints));
+    for (const auto& item : items) {
+        BOOST_LEAF_AUTO(url, item.text(is_alert_url, "a URL of the form http://IPv4-address[:port][/path]"));
+        const auto& known = target.director_endpoints;
+        if (std::find(known.begin(), known.end(), url) != known.end()) {
+            return item.fail("each endpoint once");
+        }
+        target.director_endpoints.push_back(std::move(url));
+    }
+    return {};
+}
+
+[[nodiscard]] result<void> read_director(const yaml_value& value, settings& target) {
+    static constexpr std::array<yaml_field<settings>, 1U> fields{{{"endpoints", true, read_endpoints}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_level(const yaml_value& value, settings& target) {
+    BOOST_LEAF_AUTO(index, value.choice(log_levels));
+    target.log_level = log_levels[index];
+    return {};
+}
+
+[[nodiscard]] result<void> read_log(const yaml_value& value, settings& target) {
+    static constexpr std::array<yaml_field<settings>, 1U> fields{{{"level", false, read_level}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_workers(const yaml_value& value, settings& target) {
+    return value.read(target.workers, 1U, most_workers);
+}
+
+} // namespace internal
+
+result<settings> parse_settings(const std::string_view source, const std::string_view text) {
+    // Without a director no caller could ever be refused (section 4.8 of the design), so it is required.
+    static constexpr std::array<yaml_field<settings>, 5U> fields{{{"instance", true, internal::read_instance},
+                                                                  {"store", true, internal::read_store},
+                                                                  {"director", true, internal::read_director},
+                                                                  {"log", false, internal::read_log},
+                                                                  {"workers", false, internal::read_workers}}};
+    BOOST_LEAF_AUTO(root, parse_yaml(source, text, internal::settings_limits));
+    settings parsed{};
+    if (auto done = yaml_value{source, root, {}}.read_map(parsed, fields); !done) {
+        return done.error();
+    }
+    return parsed;
+}
+
+} // namespace mangopulley
