--- a/src/mangopulley/core/yaml_value.hpp
+++ b/src/mangopulley/core/yaml_value.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 #include "error.hpp"
@@ -64,6 +65,7 @@
         : origin{source}, content{&node}, place{std::move(path)} {}
 
     [[nodiscard]] const yaml_node& node() const noexcept { return *this->content; }
+    [[nodiscard]] const std::string& path() const noexcept { return this->place; }
 
     /*! @brief Makes an error that names this place and the value found there. */
     [[nodiscard]] boost::leaf::error_id fail(std::string_view expected) const;
