--- /dev/null
+++ b/src/mangopulley/routing/answer_times.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+
+#include "../core/fwd.hpp"
+
+namespace mangopulley {
+
+/**
+ * @brief Quantiles of the most recent answer times of one kind of request.
+ *
+ * The quantile estimators of Boost.Accumulators never forget a sample; a window follows load that shifts.
+ */
+class answer_times {
+public:
+    /*! @brief Adds the time of a whole answer. */
+    void record(duration sample) noexcept;
+
+    /*! @brief Tells whether there are enough samples to base decisions on. */
+    [[nodiscard]] bool known() const noexcept { return this->count >= fewest_samples; }
+    /*! @brief Returns the median; zero before the first sample. */
+    [[nodiscard]] duration median() const noexcept { return this->middle; }
+    /*! @brief Returns the 95th percentile; zero before the first sample. */
+    [[nodiscard]] duration percentile_95() const noexcept { return this->high; }
+
+    /**
+     * @brief Returns the age at which a request in flight makes its target suspect.
+     *
+     * It is 3 times the median. Where answer times scatter so widely that this would be normal (for exponentially
+     * distributed times 12% of the answers), it is 1.5 times the 90th percentile, at most 8 times the median.
+     *
+     * @return The age, at least 2 ms so that scheduling delays of this process blame no target; the maximum when the
+     * times are not known.
+     */
+    [[nodiscard]] duration suspect_age() const noexcept;
+
+private:
+    static constexpr std::size_t window = 256U;
+    static constexpr std::size_t fewest_samples = 16U;
+
+    void refresh() noexcept;
+
+    std::array<duration::rep, window> samples{};
+    std::size_t count{};
+    std::size_t next{};
+    duration middle{};
+    duration wide{};
+    duration high{};
+};
+
+} // namespace mangopulley
