--- /dev/null
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -0,0 +1,340 @@
+#include "caller_service.hpp"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+#include "../core/incarnation_id.hpp"
+#include "../observe/event_log.hpp"
+#include "problem.hpp"
+#include "request_headers.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+constexpr std::size_t listed_addresses = 3U;
+constexpr milliseconds short_wait{1'000};
+constexpr std::string_view services_prefix = "/v1/services/";
+constexpr std::string_view kinds_part = "/kinds/";
+constexpr std::string_view orders_prefix = "/v1/orders/";
+
+/*! @brief Service and kind named in a request's path. */
+struct work_path {
+    std::string service;
+    std::string kind;
+};
+
+[[nodiscard]] std::string decode(const std::string_view text) {
+    std::string decoded{};
+    try {
+        Poco::URI::decode(std::string{text}, decoded);
+    } catch (const Poco::Exception&) {
+        return {};
+    }
+    return decoded;
+}
+
+[[nodiscard]] std::optional<work_path> parse_work_path(const std::string_view path) {
+    if (!path.starts_with(services_prefix)) {
+        return std::nullopt;
+    }
+    const auto rest = path.substr(services_prefix.size());
+    const auto middle = rest.find(kinds_part);
+    if (middle == std::string_view::npos) {
+        return std::nullopt;
+    }
+    work_path parsed{decode(rest.substr(0U, middle)), decode(rest.substr(middle + kinds_part.size()))};
+    if (parsed.service.empty() || parsed.kind.empty()) {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+[[nodiscard]] problem not_found(std::string what) {
+    return {404, "not-run", "not-found", "Not found", std::move(what), {}, {}, {}, {}, {}};
+}
+
+[[nodiscard]] problem bad_request(std::string detail) {
+    return {400, "not-run", "bad-request", "Bad request", std::move(detail), {}, {}, {}, {}, {}};
+}
+
+[[nodiscard]] problem not_run(std::string type, std::string detail) {
+    return {503, "not-run", std::move(type), "The request was not run", std::move(detail), {}, {}, {}, {}, short_wait};
+}
+
+[[nodiscard]] problem unknown(std::string type, std::string detail) {
+    return {504,   "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
+            {}, {}};
+}
+
+[[nodiscard]] http_reply to_reply(const target_answer& answer) {
+    http_reply reply{};
+    reply.status = answer.status;
+    reply.body = answer.body;
+    reply.content_type = answer.content_type.empty() ? "application/octet-stream" : answer.content_type;
+    reply.headers.push_back({"Mangopulley-Outcome", "answered"});
+    return reply;
+}
+
+[[nodiscard]] std::string describe(const input_error& error) {
+    return error.field + ": found '" + error.found + "', expected " + error.expected;
+}
+
+/*! @brief Problem for an order that has no answer. */
+[[nodiscard]] problem to_problem(const order_outcome& outcome) {
+    const std::string type{mangopulley::to_string(outcome.reason)};
+    switch (outcome.state) {
+    case order_state::content_mismatch:
+        return {422, "not-run", "content-mismatch", "The key was used before with other content", outcome.detail, {},
+                {},  {},        {},                 {}};
+    case order_state::not_run: {
+        auto cause = not_run(type, outcome.detail);
+        cause.order_token = outcome.fresh_token.value_or("");
+        return cause;
+    }
+    case order_state::in_progress: {
+        auto cause = unknown("in-progress", "the request is being run; ask again");
+        cause.retry_after = short_wait;
+        return cause;
+    }
+    default: {
+        auto cause = unknown(type, outcome.detail);
+        if (!outcome.settled) {
+            cause.retry_after = short_wait;
+        }
+        return cause;
+    }
+    }
+}
+
+} // namespace internal
+
+struct caller_service::implementation {
+    const clock& time;
+    const document_holder& catalogue;
+    const address_book& addresses;
+    const member_table& members;
+    const standing& proof;
+    admission& limits;
+    service_table& services;
+    order_service& orders;
+    metrics& numbers;
+    event_log log{"caller"};
+
+    explicit implementation(const parts& environment)
+        : time{environment.time}, catalogue{environment.catalogue}, addresses{environment.addresses},
+          members{environment.members}, proof{environment.proof}, limits{environment.limits},
+          services{environment.services}, orders{environment.orders}, numbers{environment.numbers} {}
+
+    [[nodiscard]] http_reply list_addresses(const http_request& request) const {
+        const auto service = request.parameter("service");
+        if (!service || this->catalogue.current()->find_service(*service) == nullptr) {
+            return to_reply(internal::not_found("the catalogue has no service '" + service.value_or("") + "'"));
+        }
+        const auto members = this->addresses.addresses_of(*service, internal::listed_addresses);
+        if (members.empty()) {
+            return to_reply(internal::not_run("no-instance", "no instance takes requests now"));
+        }
+        nlohmann::json body{{"service", *service}, {"lifetime_ms", address_lifetime.count()}};
+        body["order_token"] = this->orders.make_token(members.front().incarnation);
+        for (const auto& item : members) {
+            body["addresses"].push_back({{"address", item.caller_address}, {"zone", item.zone}});
+        }
+        http_reply reply{};
+        reply.body = body.dump();
+        reply.headers.push_back({"Cache-Control", "max-age=" + std::to_string(address_lifetime.count() / 1000)});
+        return reply;
+    }
+
+    [[nodiscard]] http_reply query_order(const http_request& request) {
+        const auto key = internal::decode(std::string_view{request.path}.substr(internal::orders_prefix.size()));
+        return boost::leaf::try_handle_all(
+            [&]() -> result<http_reply> {
+                BOOST_LEAF_AUTO(outcome, this->orders.query(key));
+                return outcome.state == order_state::answered ? internal::to_reply(outcome.answer)
+                                                              : to_reply(internal::to_problem(outcome));
+            },
+            [](const input_error& error) { return to_reply(internal::bad_request(internal::describe(error))); },
+            [] { return to_reply(internal::unknown("internal", "the question could not be answered")); });
+    }
+
+    /*! @brief Other instances for a caller that reached one which takes no requests. */
+    [[nodiscard]] problem not_serving(const std::string& service) const {
+        auto cause = internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
+        for (const auto& item : this->addresses.addresses_of(service, internal::listed_addresses)) {
+            if (item.incarnation != this->members.self().incarnation) {
+                cause.addresses.push_back(item.caller_address);
+            }
+        }
+        return cause;
+    }
+
+    [[nodiscard]] http_reply work(const http_request& request, const std::string& request_id) {
+        const auto path = internal::parse_work_path(request.path);
+        if (!path) {
+            return this->fail(internal::not_found("no such path"), request_id);
+        }
+        const auto document = this->catalogue.current();
+        const auto* service = document->find_service(path->service);
+        if (service == nullptr && !this->proof.serving()) {
+            return this->fail(this->not_serving(path->service), request_id);
+        }
+        if (service == nullptr) {
+            return this->fail(internal::not_found("the catalogue has no service '" + path->service + "'"), request_id);
+        }
+        const auto* kind = service->find_kind(path->kind);
+        if (kind == nullptr) {
+            return this->fail(internal::not_found("service '" + path->service + "' has no kind '" + path->kind + "'"),
+                              request_id);
+        }
+        if (!this->proof.serving(service->serve_unconfirmed)) {
+            return this->fail(this->not_serving(path->service), request_id);
+        }
+        return boost::leaf::try_handle_all(
+            [&]() -> result<http_reply> {
+                BOOST_LEAF_AUTO(headers, read_request_headers(request));
+                return this->run(*service, *kind, request, headers, request_id);
+            },
+            [&](const input_error& error) {
+                return this->fail(internal::bad_request(internal::describe(error)), request_id);
+            },
+            [&](const refusal_error& error) { return this->refuse(error, request_id); },
+            [&](const admission_timeout_error& error) {
+                return this->fail(internal::not_run("deadline-passed", "the deadline passed before the limit '" +
+                                                                           std::string{to_string(error.limit)} +
+                                                                           "' allowed the request"),
+                                  request_id);
+            },
+            [&](const queue_error& error) {
+                return this->fail(error.code == queue_error::code::no_target
+                                      ? internal::not_run("no-target", "the service has no target")
+                                      : internal::not_run("deadline-passed", "no target was free before the deadline"),
+                                  request_id);
+            },
+            [&](const target_error& error) {
+                return this->fail(error.not_run() ? internal::not_run("target-failed", error.detail)
+                                                  : internal::unknown("target-failed", error.detail),
+                                  request_id);
+            },
+            [&] { return this->fail(internal::unknown("internal", "the request failed"), request_id); });
+    }
+
+    [[nodiscard]] result<http_reply> run(const service_entry& service, const kind_rule& kind,
+                                         const http_request& request, const request_headers& headers,
+                                         const std::string& request_id) {
+        if (!kind.idempotent && headers.idempotency_key.empty()) {
+            return boost::leaf::new_error(
+                input_error{"request", 0U, "Idempotency-Key", "", "a key, since the kind is not idempotent"});
+        }
+        const auto runtime = this->services.find(service.name);
+        if (!runtime) {
+            return boost::leaf::new_error(queue_error{queue_error::code::no_target, service.name, kind.name, {}});
+        }
+        const auto deadline = request.received + headers.timeout.value_or(kind.timeout);
+        BOOST_LEAF_AUTO(place, this->limits.admit(service, deadline));
+        if (!kind.idempotent) {
+            return this->run_order(service, kind, request, headers, request_id, deadline);
+        }
+        call_request call{};
+        call.rule = kind;
+        call.body = request.body;
+        call.content_type = headers.content_type;
+        call.request_id = request_id;
+        call.traceparent = headers.traceparent;
+        call.deadline = deadline;
+        call.retry_budget = headers.retry_budget;
+        call.work = service.work;
+        BOOST_LEAF_AUTO(answer, runtime->run(call));
+        this->finish(service.name, "answered", request);
+        return internal::to_reply(answer);
+    }
+
+    [[nodiscard]] result<http_reply> run_order(const service_entry& service, const kind_rule& kind,
+                                               const http_request& request, const request_headers& headers,
+                                               const std::string& request_id, const time_point deadline) {
+        order_request order{};
+        order.service = service.name;
+        order.kind = kind.name;
+        order.key = headers.idempotency_key;
+        order.body = request.body;
+        order.content_type = headers.content_type;
+        order.request_id = request_id;
+        order.traceparent = headers.traceparent;
+        order.deadline = deadline;
+        order.retry_budget = headers.retry_budget;
+        order.refuse_without_store = service.refuse_orders_without_store;
+        order.first_attempt = headers.first_attempt;
+        BOOST_LEAF_AUTO(outcome, this->orders.submit(order));
+        this->finish(service.name, to_string(outcome.state), request);
+        if (outcome.state == order_state::answered) {
+            return internal::to_reply(outcome.answer);
+        }
+        return this->fail(internal::to_problem(outcome), request_id);
+    }
+
+    void finish(const std::string& service, const std::string_view outcome, const http_request& request) {
+        std::string labels{"{service=\""};
+        labels.append(service).append("\"");
+        this->numbers.observe("request_seconds" + labels + "}", this->time.now() - request.received);
+        this->numbers.count("requests_total" + labels + ",outcome=\"" + std::string{outcome} + "\"}");
+    }
+
+    [[nodiscard]] http_reply fail(problem cause, const std::string& request_id) {
+        cause.request_id = request_id;
+        this->numbers.count("problems_total{type=\"" + cause.type + "\",outcome=\"" + cause.outcome + "\"}");
+        this->log.write(log_level::info, "request_failed",
+                        {{"request_id", request_id},
+                         {"outcome", cause.outcome},
+                         {"type", cause.type},
+                         {"detail", cause.detail}});
+        return to_reply(cause);
+    }
+
+    [[nodiscard]] http_reply refuse(const refusal_error& error, const std::string& request_id) {
+        problem cause{};
+        cause.status = 429;
+        cause.outcome = "refused";
+        cause.type = "limit-reached";
+        cause.title = "The owner's limit is reached; the request was not run";
+        cause.limit = to_string(error.limit);
+        cause.detail = "service '" + error.service + "', limit '" + cause.limit + "'";
+        cause.retry_after = error.retry_after;
+        return this->fail(std::move(cause), request_id);
+    }
+};
+
+caller_service::caller_service(const parts& environment) : self{std::make_unique<implementation>(environment)} {}
+
+caller_service::~caller_service() = default;
+
+http_reply caller_service::handle(const http_request& request) {
+    const auto& method = request.head.getMethod();
+    if (method == Poco::Net::HTTPRequest::HTTP_POST) {
+        const auto request_id = incarnation_id::generate().to_string();
+        auto reply = this->self->work(request, request_id);
+        reply.headers.push_back({"Request-Id", request_id});
+        return reply;
+    }
+    if (method != Poco::Net::HTTPRequest::HTTP_GET) {
+        problem cause{405, "not-run", "method", "Method not allowed", method, {}, {}, {}, {}, {}};
+        auto reply = to_reply(cause);
+        reply.headers.push_back({"Allow", "GET, POST"});
+        return reply;
+    }
+    if (request.path == "/v1/addresses") {
+        return this->self->list_addresses(request);
+    }
+    if (request.path.starts_with(internal::orders_prefix)) {
+        return this->self->query_order(request);
+    }
+    return to_reply(internal::not_found("no such path"));
+}
+
+} // namespace mangopulley
--- a/src/mangopulley/limit/admission.cpp
+++ b/src/mangopulley/limit/admission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <condition_variable>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -21,6 +22,17 @@
 // Shares and limits change while a request waits, so it looks again at least this often.
 constexpr milliseconds recheck_period{20};
 
+/*! @brief Returns how many requests may be in progress at this instance; a limit of zero means none was agreed. */
+[[nodiscard]] double places_of(const service_limits& limits, const double share) noexcept {
+    if (limits.concurrent == 0U) {
+        return std::numeric_limits<double>::infinity();
+    }
+    if (share <= 0.0) {
+        return 0.0;
+    }
+    return std::max(1.0, share * (static_cast<double>(limits.concurrent) + static_cast<double>(limits.waiting)));
+}
+
 /*! @brief Requests counted over the last second in ten parts. */
 class rate_meter {
 public:
@@ -109,14 +121,12 @@
                                                       const service_entry& service) const {
         const double share = this->shares.share(service.name);
         this->configure(usage, service, share);
-        const double places =
-            std::max(share > 0.0 ? 1.0 : 0.0, share * (static_cast<double>(service.limits.concurrent) +
-                                                       static_cast<double>(service.limits.waiting)));
+        const double places = internal::places_of(service.limits, share);
         const auto now = this->time.now();
         if (static_cast<double>(usage.in_progress) + 1.0 > places) {
             return limit_kind::concurrent_and_waiting;
         }
-        if (!usage.bucket.try_take(now)) {
+        if (service.limits.requests_per_second > 0.0 && !usage.bucket.try_take(now)) {
             return limit_kind::requests_per_second;
         }
         ++usage.in_progress;
@@ -129,7 +139,8 @@
         if (static_cast<double>(usage.in_progress) >= internal::alert_threshold * places) {
             this->alerts.raise(service.name, limit_kind::concurrent_and_waiting, "80% of the limit is in use");
         }
-        if (usage.meter.per_second(this->time.now()) >= internal::alert_threshold * usage.rate) {
+        const bool rate_limited = service.limits.requests_per_second > 0.0;
+        if (rate_limited && usage.meter.per_second(this->time.now()) >= internal::alert_threshold * usage.rate) {
             this->alerts.raise(service.name, limit_kind::requests_per_second, "80% of the limit is in use");
         }
     }
