--- /dev/null
+++ b/src/mangopulley/order/anchored_clock.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+#include "../core/clock.hpp"
+#include "fwd.hpp"
+
+namespace mangopulley {
+
+/**
+ * @brief Wall-clock seconds that never step: the wall clock is read once, then the monotonic clock counts on.
+ *
+ * A wall clock set back would make keys valid again after their records were dropped.
+ */
+class anchored_clock {
+public:
+    /*! @brief Reads both clocks once; the clock must outlive this object. */
+    explicit anchored_clock(const clock& time) noexcept
+        : source{&time}, anchor{time.now()},
+          wall_anchor{std::chrono::duration_cast<std::chrono::seconds>(time.wall().time_since_epoch()).count()} {}
+
+    /*! @brief Returns the seconds since the epoch of the wall clock. */
+    [[nodiscard]] std::uint64_t seconds() const noexcept {
+        const auto passed = std::chrono::duration_cast<std::chrono::seconds>(this->source->now() - this->anchor);
+        return static_cast<std::uint64_t>(this->wall_anchor + passed.count());
+    }
+
+    /*! @brief Returns the monotonic time of the clock behind it. */
+    [[nodiscard]] time_point now() const noexcept { return this->source->now(); }
+
+private:
+    const clock* source;
+    time_point anchor;
+    std::chrono::seconds::rep wall_anchor;
+};
+
+} // namespace mangopulley
