--- a/test/mangopulley/routing/dispatcher.cpp
+++ b/test/mangopulley/routing/dispatcher.cpp
@@ -26,6 +26,7 @@
 
     void list(const int targets) {
         std::vector<target_record> records{};
+        records.reserve(static_cast<std::size_t>(targets));
         for (int number = 0; number < targets; ++number) {
             const auto name = std::to_string(number);
             records.push_back({"t" + name, "127.0.0.1:" + name, "a", false});
