--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -138,13 +138,13 @@
         if (!service || this->catalogue.current()->find_service(*service) == nullptr) {
             return to_reply(internal::not_found("the catalogue has no service '" + service.value_or("") + "'"));
         }
-        const auto members = this->addresses.addresses_of(*service, internal::listed_addresses);
-        if (members.empty()) {
+        const auto listed = this->addresses.addresses_of(*service, internal::listed_addresses);
+        if (listed.empty()) {
             return to_reply(internal::not_run("no-instance", "no instance takes requests now"));
         }
         nlohmann::json body{{"service", *service}, {"lifetime_ms", address_lifetime.count()}};
-        body["order_token"] = this->orders.make_token(members.front().incarnation);
-        for (const auto& item : members) {
+        body["order_token"] = this->orders.make_token(listed.front().incarnation);
+        for (const auto& item : listed) {
             body["addresses"].push_back({{"address", item.caller_address}, {"zone", item.zone}});
         }
         http_reply reply{};
--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -74,7 +74,7 @@
     BOOST_LEAF_AUTO(stored, decode_catalogue(catalogue_key, value));
     BOOST_LEAF_AUTO(parsed, parse_document(catalogue_key, stored.text));
     parsed.version = stored.version;
-    return std::move(parsed);
+    return parsed;
 }
 
 } // namespace internal
--- a/src/mangopulley/entry/order_dispatch.cpp
+++ b/src/mangopulley/entry/order_dispatch.cpp
@@ -1,5 +1,7 @@
 #include "order_dispatch.hpp"
 
+#include "../order/order_types.hpp"
+
 namespace mangopulley {
 
 result<target_answer> order_dispatch::run(const order_request& request) {
--- a/src/mangopulley/entry/process_state.hpp
+++ b/src/mangopulley/entry/process_state.hpp
@@ -6,6 +6,7 @@
 #include "../http/http_server.hpp"
 #include "../limit/admission.hpp"
 #include "../membership/standing.hpp"
+#include "../order/ledger.hpp"
 #include "../order/order_archive.hpp"
 #include "../order/witness_table.hpp"
 #include "../peer/peer_server.hpp"
--- a/src/mangopulley/observe/event_log.cpp
+++ b/src/mangopulley/observe/event_log.cpp
@@ -48,7 +48,7 @@
 
 void configure_logging(const std::string_view level) {
     const auto layout =
-        std::make_shared<log4cxx::PatternLayout>("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS}Z level=%p component=%c %m%n");
+        std::make_shared<log4cxx::PatternLayout>("time=\"%d{yyyy-MM-dd HH:mm:ss.SSS}\" level=%p component=%c %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
