--- /dev/null
+++ b/src/mangopulley/catalogue/stored_catalogue.cpp
@@ -0,0 +1,166 @@
+#include "stored_catalogue.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "../core/incarnation_id.hpp"
+#include "../core/yaml_value.hpp"
+#include "parse.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+using nlohmann::json;
+
+/*! @brief Reads members of one JSON object; the first fault sticks and later reads return empty values. */
+class object_reader {
+public:
+    object_reader(const json& object, std::string path, input_error& first_fault)
+        : content{object}, place{std::move(path)}, fault{first_fault} {}
+
+    [[nodiscard]] std::uint64_t number(const char* name) {
+        const auto* member = this->find(name);
+        if (member == nullptr || !member->is_number_unsigned()) {
+            this->fail(name, "a whole number");
+            return 0U;
+        }
+        return member->get<std::uint64_t>();
+    }
+
+    [[nodiscard]] std::string text(const char* name) {
+        const auto* member = this->find(name);
+        if (member == nullptr || !member->is_string()) {
+            this->fail(name, "a text");
+            return {};
+        }
+        return member->get<std::string>();
+    }
+
+    [[nodiscard]] const json* find(const char* name) const {
+        const auto position = this->content.find(name);
+        return position == this->content.end() ? nullptr : &*position;
+    }
+
+    void fail(const std::string& name, std::string expected) {
+        if (this->fault.expected.empty()) {
+            const auto* member = this->find(name.c_str());
+            this->fault.field = this->place + name;
+            this->fault.found =
+                member == nullptr ? "nothing" : printable(member->is_string() ? "a text" : member->type_name());
+            this->fault.expected = std::move(expected);
+        }
+    }
+
+private:
+    const json& content;
+    std::string place;
+    input_error& fault;
+};
+
+[[nodiscard]] edit_record read_edit(const json& value, const std::size_t index, input_error& fault) {
+    const json empty = json::object();
+    const bool is_object = value.is_object();
+    object_reader reader{is_object ? value : empty, "edits[" + std::to_string(index) + "].", fault};
+    edit_record edit{};
+    edit.id = reader.text("id");
+    edit.version = reader.number("version");
+    edit.operator_name = reader.text("operator");
+    const auto wall = reader.number("wall_ms");
+    edit.wall_ms = static_cast<std::int64_t>(wall);
+    if (edit.wall_ms < 0) {
+        reader.fail("wall_ms", "milliseconds since 1970 in 63 bits");
+    }
+    if (!incarnation_id::parse(edit.id)) {
+        reader.fail("id", "16 hexadecimal digits");
+    }
+    if (!is_display_name(edit.operator_name)) {
+        reader.fail("operator", std::string{display_name_form});
+    }
+    return edit;
+}
+
+[[nodiscard]] stored_catalogue read_catalogue(const json& value, input_error& fault) {
+    object_reader reader{value, "", fault};
+    stored_catalogue catalogue{};
+    catalogue.version = reader.number("version");
+    catalogue.text = reader.text("text");
+    if (catalogue.text.size() > longest_catalogue_text) {
+        reader.fail("text", "at most " + std::to_string(longest_catalogue_text) + " bytes");
+    }
+    const auto* edits = reader.find("edits");
+    if (edits == nullptr || !edits->is_array() || edits->empty() || edits->size() > most_listed_edits) {
+        reader.fail("edits", "a list of 1 to " + std::to_string(most_listed_edits) + " edits");
+        return catalogue;
+    }
+    // Versions grow by one, so the list tells for each of its versions which edit made it.
+    const auto oldest = catalogue.version - (edits->size() - 1U);
+    if (catalogue.version < edits->size()) {
+        reader.fail("version", "at least the number of edits");
+    }
+    for (std::size_t index = 0U; index < edits->size(); ++index) {
+        catalogue.edits.push_back(read_edit((*edits)[index], index, fault));
+        if (catalogue.edits.back().version != oldest + index) {
+            reader.fail("edits", "versions that grow by 1 up to the version of the object");
+        }
+    }
+    if (reader.text("edit") != catalogue.edits.back().id) {
+        reader.fail("edit", "the id of the last edit");
+    }
+    if (reader.text("operator") != catalogue.edits.back().operator_name) {
+        reader.fail("operator", "the operator of the last edit");
+    }
+    return catalogue;
+}
+
+} // namespace internal
+
+std::string history_key(const std::uint64_t version) {
+    return std::string{catalogue_history_prefix} + std::to_string(version);
+}
+
+stored_catalogue follow(const stored_catalogue& previous, const std::string_view text, edit_record edit) {
+    stored_catalogue next{previous.version + 1U, std::string{text}, {}};
+    edit.version = next.version;
+    const auto dropped =
+        previous.edits.size() < most_listed_edits ? 0U : previous.edits.size() - most_listed_edits + 1U;
+    next.edits.assign(previous.edits.begin() + static_cast<std::ptrdiff_t>(dropped), previous.edits.end());
+    next.edits.push_back(std::move(edit));
+    return next;
+}
+
+std::string encode_catalogue(const stored_catalogue& catalogue) {
+    auto edits = internal::json::array();
+    for (const auto& edit : catalogue.edits) {
+        edits.push_back({{"id", edit.id},
+                         {"version", edit.version},
+                         {"operator", edit.operator_name},
+                         {"wall_ms", static_cast<std::uint64_t>(edit.wall_ms)}});
+    }
+    const edit_record none{};
+    const auto& last = catalogue.edits.empty() ? none : catalogue.edits.back();
+    const internal::json value{{"version", catalogue.version},
+                               {"edit", last.id},
+                               {"operator", last.operator_name},
+                               {"text", catalogue.text},
+                               {"edits", std::move(edits)}};
+    return value.dump(-1, ' ', false, internal::json::error_handler_t::replace);
+}
+
+result<stored_catalogue> decode_catalogue(const std::string_view source, const std::string_view value) {
+    input_error fault{std::string{source}, 0U, {}, {}, {}};
+    const auto json = internal::json::parse(value, nullptr, false);
+    if (!json.is_object()) {
+        fault.found = json.is_discarded() ? "malformed JSON" : json.type_name();
+        fault.expected = "a JSON object";
+        return boost::leaf::new_error(std::move(fault));
+    }
+    auto catalogue = internal::read_catalogue(json, fault);
+    if (!fault.expected.empty()) {
+        return boost::leaf::new_error(std::move(fault));
+    }
+    return catalogue;
+}
+
+} // namespace mangopulley
