Add membership, standing and the catalogue follower

Cause: instances need to know each other, who leads which service, and whether they are up to date with accepted catalogue changes, at a constant cost per instance.

The member table judges liveness by age and merges first-hand and second-hand knowledge; the address book ranks members by rendezvous hashing; heartbeats carry ages that add up along the way; the standing decides between confirmed, store outage and isolated; the follower moves the catalogue and the instance list forward only.

Ruled out: reporting the youngest half or quarter of the member ages. Confirmations by messages that arrive unasked: their time in transit is unknown, so only replies count. A watch of the catalogue of 1 s: it leaves watchers with confirmations up to 2 s old; the wait is 500 ms.

--- /dev/null
+++ b/src/mangopulley/membership/address_book.cpp
@@ -0,0 +1,103 @@
+#include "address_book.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "member_table.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+[[nodiscard]] std::uint64_t hash_text(const std::string_view text, std::uint64_t seed) noexcept {
+    // FNV-1a; std::hash is not the same in all builds.
+    for (const char letter : text) {
+        seed = (seed ^ static_cast<unsigned char>(letter)) * 0x100000001b3U;
+    }
+    return seed;
+}
+
+[[nodiscard]] std::uint64_t finish_hash(std::uint64_t value) noexcept {
+    // Finaliser of SplitMix64: FNV-1a alone ranks names that differ only in the last letter alike for all keys.
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+void sort_by_rank(std::vector<member>& members, const std::string_view key) {
+    std::sort(members.begin(), members.end(), [key](const member& left, const member& right) {
+        return std::pair{rendezvous_rank(key, left.instance_name), left.incarnation.value()} >
+               std::pair{rendezvous_rank(key, right.instance_name), right.incarnation.value()};
+    });
+}
+
+} // namespace internal
+
+std::uint64_t rendezvous_rank(const std::string_view key, const std::string_view instance_name) noexcept {
+    constexpr std::uint64_t basis = 0xcbf29ce484222325U;
+    const auto key_hash = internal::finish_hash(internal::hash_text(key, basis));
+    return internal::finish_hash(internal::hash_text(instance_name, basis) ^ key_hash);
+}
+
+std::vector<member> address_book::addresses_of(const std::string_view service, const std::size_t count) const {
+    auto members = this->table.live();
+    std::erase_if(members, [](const member& about) { return about.state == member_state::leaving || !about.serving; });
+    internal::sort_by_rank(members, service);
+    std::set<std::string> zones{};
+    std::vector<member> chosen{};
+    std::vector<member> rest{};
+    for (auto& about : members) {
+        auto& list = zones.insert(about.zone).second ? chosen : rest;
+        list.push_back(std::move(about));
+    }
+    std::move(rest.begin(), rest.end(), std::back_inserter(chosen));
+    chosen.resize(std::min(chosen.size(), count));
+    return chosen;
+}
+
+std::optional<incarnation_id> address_book::lead_of(const std::string_view service) const {
+    const auto first = this->addresses_of(service, 1U);
+    return first.empty() ? std::nullopt : std::optional{first.front().incarnation};
+}
+
+std::vector<incarnation_id> address_book::witnesses_for(const incarnation_id home) const {
+    auto members = this->table.live();
+    const auto position =
+        std::find_if(members.begin(), members.end(), [home](const member& about) { return about.incarnation == home; });
+    const auto home_zone = position == members.end() ? std::string{} : position->zone;
+    std::erase_if(members, [home](const member& about) {
+        return about.incarnation == home || about.state == member_state::leaving;
+    });
+    internal::sort_by_rank(members, home.to_string());
+    std::stable_sort(members.begin(), members.end(), [&home_zone](const member& left, const member& right) {
+        return std::tuple{left.health, left.zone == home_zone} < std::tuple{right.health, right.zone == home_zone};
+    });
+    std::vector<incarnation_id> chosen{};
+    for (std::size_t index = 0U; index < std::min<std::size_t>(members.size(), 2U); ++index) {
+        chosen.push_back(members[index].incarnation);
+    }
+    return chosen;
+}
+
+std::optional<std::string> address_book::endpoint_of(const incarnation_id incarnation) const {
+    const auto found = this->table.find(incarnation);
+    return found ? std::optional{found->peer_endpoint} : std::nullopt;
+}
+
+bool address_book::is_watcher() const {
+    const auto self = this->table.self();
+    auto members = this->table.live();
+    std::erase_if(members, [&self](const member& about) {
+        return about.zone != self.zone ||
+               (about.state == member_state::leaving && about.incarnation != self.incarnation);
+    });
+    internal::sort_by_rank(members, "catalogue/current");
+    members.resize(std::min(members.size(), watchers_per_zone));
+    return std::any_of(members.begin(), members.end(),
+                       [&self](const member& about) { return about.incarnation == self.incarnation; });
+}
+
+} // namespace mangopulley
