--- a/test/standin/common/http_server.cpp
+++ b/test/standin/common/http_server.cpp
@@ -31,6 +31,7 @@
     event_loop& loop;
     http_server_options options;
     handler action;
+    std::uint16_t port;
     descriptor listener;
     bool accepting{true};
     std::uint64_t accepted{};
@@ -157,6 +158,7 @@
         http_request request{};
         while (this->socket.valid() && !this->busy && !this->closing && this->parse(request)) {
             this->busy = true;
+            request.port = this->server.port;
             this->server.action(std::move(request), alive);
             request = http_request{};
         }
@@ -265,7 +267,7 @@
 }
 
 http_server::http_server(event_loop& loop, const std::uint16_t port, const http_server_options options, handler action)
-    : self{new implementation{loop, options, std::move(action), listen_on(port)}} {
+    : self{new implementation{loop, options, std::move(action), port, listen_on(port)}} {
     loop.watch(this->self->listener.get(), EPOLLIN, [this](std::uint32_t) { this->self->accept_waiting(); });
 }
 
--- a/test/standin/common/http_server.hpp
+++ b/test/standin/common/http_server.hpp
@@ -24,6 +24,8 @@
     std::map<std::string, std::string> query{};
     Poco::Net::MessageHeader headers{};
     std::string body{};
+    /*! @brief Port of the server that received it. */
+    std::uint16_t port{};
 
     /*! @brief Returns a numeric query parameter, or the fallback when it is absent or not a number. */
     [[nodiscard]] std::uint64_t number(const std::string& name, std::uint64_t fallback) const;
--- a/test/standin/store.cpp
+++ b/test/standin/store.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <utility>
@@ -37,6 +38,7 @@
     std::size_t read_rate{};
     std::size_t write_rate{};
     std::chrono::milliseconds list_lag{};
+    std::vector<std::uint16_t> view_ports{};
 };
 
 struct stored_value {
@@ -69,16 +71,19 @@
 class store {
 public:
     store(event_loop& serving, const store_settings& given)
-        : loop{serving}, settings{given}, reads{given.read_rate}, writes{given.write_rate}, random{given.seed},
-          server{serving, given.port, {}, [this](http_request request, const connection_pointer& connection) {
-                     this->handle(std::move(request), connection);
-                 }} {}
+        : loop{serving}, settings{given}, reads{given.read_rate}, writes{given.write_rate}, random{given.seed} {
+        this->listen(given.port);
+        for (const auto port : given.view_ports) {
+            this->listen(port);
+        }
+    }
 
 private:
     struct waiting_watch {
         std::uint64_t after{};
         connection_pointer connection{};
         event_loop::timer_id timer{};
+        std::uint16_t port{};
     };
     using watch_list = std::list<waiting_watch>;
     struct route {
@@ -87,6 +92,14 @@
         void (store::*action)(const http_request&, const connection_pointer&);
     };
 
+    void listen(const std::uint16_t port) {
+        this->servers.push_back(
+            std::make_unique<http_server>(this->loop, port, http_server_options{},
+                                          [this](http_request request, const connection_pointer& connection) {
+                                              this->handle(std::move(request), connection);
+                                          }));
+    }
+
     void handle(http_request request, const connection_pointer& connection) {
         if (request.path.starts_with("/control/")) {
             try {
@@ -122,6 +135,7 @@
             {"GET", "/v1/instances", &store::get_instances},
             {"PUT", "/control/instances", &store::set_instances},
             {"PUT", "/control/faults", &store::set_faults},
+            {"PUT", "/control/views", &store::set_views},
             {"GET", "/control/counts", &store::get_counts},
         };
         for (const auto& entry : routes) {
@@ -186,17 +200,17 @@
             this->reply_object(connection, position->second);
             return;
         }
-        this->wait(this->object_watches[key], after, request.number("wait_ms", 0U), connection);
+        this->wait(this->object_watches[key], request, connection);
     }
 
-    void wait(watch_list& watches, const std::uint64_t after, const std::uint64_t wait_ms,
-              const connection_pointer& connection) {
+    void wait(watch_list& watches, const http_request& request, const connection_pointer& connection) {
+        const auto wait_ms = request.number("wait_ms", 0U);
         if (wait_ms == 0U) {
             this->reply(connection, {304, {}, {}, {}});
             return;
         }
         this->reads.begin_wait();
-        const auto entry = watches.insert(watches.end(), {after, connection, 0U});
+        const auto entry = watches.insert(watches.end(), {request.number("after", 0U), connection, 0U, request.port});
         const auto end = [this, &watches, entry] {
             this->loop.cancel(entry->timer);
             this->reads.end_wait(event_loop::clock_type::now());
@@ -217,12 +231,12 @@
                 ++entry;
                 continue;
             }
-            const auto connection = entry->connection;
+            const auto watch = *entry;
             this->loop.cancel(entry->timer);
             this->reads.end_wait(event_loop::clock_type::now());
             entry = watches.erase(entry);
-            connection->on_closed(nullptr);
-            answer(connection);
+            watch.connection->on_closed(nullptr);
+            answer(watch);
         }
     }
 
@@ -258,7 +272,7 @@
             this->reply(connection, {200, {}, "text/plain", {{"ETag", quoted(object.version)}}});
         }
         this->wake(this->object_watches[key], object.version,
-                   [&](const connection_pointer& watcher) { this->reply_object(watcher, object); });
+                   [&](const waiting_watch& watch) { this->reply_object(watch.connection, object); });
     }
 
     void list_objects(const http_request& request, const connection_pointer& connection) {
@@ -276,9 +290,28 @@
         this->reply(connection, {200, found.dump()});
     }
 
-    void reply_instances(const connection_pointer& connection) {
-        this->reply(connection,
-                    {200, nlohmann::json{{"revision", this->visible_revision}, {"instances", this->visible}}.dump()});
+    void reply_instances(const std::uint16_t port, const connection_pointer& connection) {
+        auto instances = this->visible;
+        if (const auto view = this->views.find(std::to_string(port)); view != this->views.end()) {
+            for (auto& instance : instances) {
+                const std::string address = instance.value("address", "");
+                instance["address"] = view->value(address, address);
+            }
+        }
+        this->reply(
+            connection,
+            {200, nlohmann::json{{"revision", this->visible_revision}, {"instances", std::move(instances)}}.dump()});
+    }
+
+    // Sets what addresses readers on one port see, so that a test can lead each reader through proxies of its own.
+    void set_views(const http_request& request, const connection_pointer& connection) {
+        auto json = nlohmann::json::parse(request.body, nullptr, false);
+        if (!json.is_object()) {
+            connection->respond({400, {}, "text/plain", {}});
+            return;
+        }
+        this->views = std::move(json);
+        connection->respond({200, "{}"});
     }
 
     void get_instances(const http_request& request, const connection_pointer& connection) {
@@ -288,10 +321,10 @@
         }
         const auto after = request.number("after", 0U);
         if (!request.query.contains("after") || this->visible_revision > after) {
-            this->reply_instances(connection);
+            this->reply_instances(request.port, connection);
             return;
         }
-        this->wait(this->instance_watches, after, request.number("wait_ms", 0U), connection);
+        this->wait(this->instance_watches, request, connection);
     }
 
     void set_instances(const http_request& request, const connection_pointer& connection) {
@@ -305,7 +338,7 @@
             this->visible_revision = revision;
             this->visible = instances;
             this->wake(this->instance_watches, revision,
-                       [this](const connection_pointer& watcher) { this->reply_instances(watcher); });
+                       [this](const waiting_watch& watch) { this->reply_instances(watch.port, watch.connection); });
         };
         if (this->settings.list_lag.count() > 0) {
             this->loop.after(this->settings.list_lag, show);
@@ -329,7 +362,9 @@
         this->faults.lose_reply = json.value("lose_reply", this->faults.lose_reply);
         connection->respond({200, "{}"});
         if (this->faults.down) {
-            this->server.close_all_but(connection.get());
+            for (const auto& server : this->servers) {
+                server->close_all_but(connection.get());
+            }
         }
         if (!this->faults.hang) {
             // Held writes take effect now even when their clients have given up, as on a store that was stalled.
@@ -368,7 +403,8 @@
     store_faults faults{};
     call_counts counts{};
     std::vector<std::pair<http_request, connection_pointer>> held{};
-    http_server server;
+    nlohmann::json views = nlohmann::json::object();
+    std::vector<std::unique_ptr<http_server>> servers{};
 };
 
 void run_store(int argc, char** argv) {
@@ -379,12 +415,13 @@
     TCLAP::ValueArg<std::size_t> reads{"", "read-rate", "Reads a second", false, 2000U, "number", command};
     TCLAP::ValueArg<std::size_t> writes{"", "write-rate", "Writes a second", false, 300U, "number", command};
     TCLAP::ValueArg<std::uint64_t> lag{"", "list-lag-ms", "Lag of the instance list", false, 0U, "ms", command};
+    TCLAP::MultiArg<std::uint16_t> views{"", "view-port", "Further port, see /control/views", false, "port", command};
     command.parse(argc, argv);
     block_stop_signals();
     event_loop loop{};
     const store served{loop,
                        {port.getValue(), seed.getValue(), reads.getValue(), writes.getValue(),
-                        std::chrono::milliseconds{lag.getValue()}}};
+                        std::chrono::milliseconds{lag.getValue()}, views.getValue()}};
     const loop_thread thread{loop};
     announce_ready();
     wait_for_stop_signal();
