--- a/src/mangopulley/catalogue/stored_catalogue.cpp
+++ b/src/mangopulley/catalogue/stored_catalogue.cpp
@@ -1,5 +1,6 @@
 #include "stored_catalogue.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -14,6 +15,8 @@
 
 using nlohmann::json;
 
+constexpr std::uint64_t latest_wall_ms = 253'402'300'799'999U;
+
 /*! @brief Reads members of one JSON object; the first fault sticks and later reads return empty values. */
 class object_reader {
 public:
@@ -68,10 +71,10 @@
     edit.version = reader.number("version");
     edit.operator_name = reader.text("operator");
     const auto wall = reader.number("wall_ms");
-    edit.wall_ms = static_cast<std::int64_t>(wall);
-    if (edit.wall_ms < 0) {
-        reader.fail("wall_ms", "milliseconds since 1970 in 63 bits");
+    if (wall > latest_wall_ms) {
+        reader.fail("wall_ms", "milliseconds since 1970, before the year 10000");
     }
+    edit.wall_ms = static_cast<std::int64_t>(std::min(wall, latest_wall_ms));
     if (!incarnation_id::parse(edit.id)) {
         reader.fail("id", "16 hexadecimal digits");
     }
--- a/src/mangopulley/settings/settings.cpp
+++ b/src/mangopulley/settings/settings.cpp
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/IPAddress.h>
 #include <Poco/URI.h>
 
+#include "../core/endpoint.hpp"
 #include "../core/yaml_value.hpp"
 
 namespace mangopulley {
@@ -23,25 +22,6 @@
 constexpr std::size_t most_endpoints = 16U;
 constexpr std::array<std::string_view, 5U> log_levels{"trace", "debug", "info", "warn", "error"};
 
-/*! @brief Accepts only the dotted form of four numbers; callers and peers get `ip:port`, which has no IPv6 form. */
-[[nodiscard]] bool is_address(const std::string_view text) {
-    Poco::Net::IPAddress address{};
-    return Poco::Net::IPAddress::tryParse(std::string{text}, address) &&
-           address.family() == Poco::Net::IPAddress::IPv4 && address.toString() == text && !address.isWildcard() &&
-           !address.isBroadcast() && !address.isMulticast();
-}
-
-[[nodiscard]] bool is_endpoint(const std::string_view text) {
-    const auto colon = text.find(':');
-    if (colon == std::string_view::npos || !is_address(text.substr(0U, colon))) {
-        return false;
-    }
-    const auto digits = text.substr(colon + 1U);
-    std::uint16_t port{};
-    const auto [end, fault] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    return fault == std::errc{} && end == digits.data() + digits.size() && port > 0U && digits.front() != '0';
-}
-
 [[nodiscard]] bool is_alert_url(const std::string_view text) {
     constexpr std::size_t longest_url = 2'048U;
     const auto plain = [](const char letter) { return letter > ' ' && letter < '\x7F'; };
@@ -50,7 +30,7 @@
     }
     try {
         const Poco::URI url{std::string{text}};
-        return url.getScheme() == "http" && is_address(url.getHost()) && url.getPort() > 0U &&
+        return url.getScheme() == "http" && is_ip_address(url.getHost()) && url.getPort() > 0U &&
                url.getUserInfo().empty() && url.getFragment().empty();
     } catch (const Poco::Exception&) {
         return false;
@@ -92,7 +72,7 @@
 }
 
 [[nodiscard]] result<void> read_ip(const yaml_value& value, settings& target) {
-    BOOST_LEAF_ASSIGN(target.ip, value.text(is_address, "an IPv4 address of one machine, such as 10.0.0.1"));
+    BOOST_LEAF_ASSIGN(target.ip, value.text(is_ip_address, "an IPv4 address of one machine, such as 10.0.0.1"));
     return {};
 }
 
@@ -113,7 +93,7 @@
 }
 
 [[nodiscard]] result<void> read_store_address(const yaml_value& value, settings& target) {
-    BOOST_LEAF_ASSIGN(target.store_address, value.text(is_endpoint, "an IPv4 address and port, such as 10.0.0.1:80"));
+    BOOST_LEAF_ASSIGN(target.store_address, value.text(is_endpoint, endpoint_form));
     return {};
 }
 
