--- a/src/mangopulley/core/yaml_value.cpp
+++ b/src/mangopulley/core/yaml_value.cpp
@@ -17,6 +17,9 @@
 
 namespace internal {
 
+// yaml-cpp takes an unclosed quoted scalar to end with a text that ends with a line end, so that a forgotten quote
+// would swallow all later fields. A document end inside of a quoted scalar is an error.
+constexpr std::string_view end_mark = "\n...\n";
 constexpr std::size_t longest_shown = 80U;
 constexpr std::size_t longest_identifier = 64U;
 constexpr std::size_t longest_display_name = 128U;
@@ -236,7 +239,7 @@
         return fail(*fault);
     }
     try {
-        std::istringstream stream{std::string{text}};
+        std::istringstream stream{std::string{text}.append(internal::end_mark)};
         YAML::Parser parser{stream};
         internal::tree_builder builder{limits};
         while (parser.HandleNextDocument(builder)) {
@@ -246,7 +249,8 @@
         return fail(fault);
     } catch (const YAML::Exception& error) {
         const auto line = error.mark.is_null() ? 0U : internal::line_of(error.mark);
-        return fail({line, error.msg, "well-formed YAML"});
+        const auto last = 1U + static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+        return fail({std::min(line, last), line > last ? "end of text" : error.msg, "well-formed YAML"});
     }
 }
 
