Test routing: fault tables, waiting, and many threads

Cause: the routing rules decide about tail latency and about second runs, and fail only under faults and threads.

Ruled out: tests against the real clock, except for one bounded run with many threads. An unreachable target now gets its first trial after 100 ms instead of 1 s, doubling to 1 s, since a short pause of a host fails connections as well.

--- a/src/mangopulley/routing/target_table.cpp
+++ b/src/mangopulley/routing/target_table.cpp
@@ -23,7 +23,9 @@
 constexpr std::uint64_t cold_answers = 3U;
 constexpr auto first_trial_pause = std::chrono::milliseconds{20};
 constexpr auto longest_trial_pause = std::chrono::milliseconds{160};
-constexpr auto unreachable_pause = std::chrono::seconds{1};
+// A refused connection often means a target that is going away, a failed one may also mean a short pause of its host.
+constexpr auto first_unreachable_pause = std::chrono::milliseconds{100};
+constexpr auto longest_unreachable_pause = std::chrono::seconds{1};
 // Slow spells last 50 ms to 2 s; after that time without evidence the suspicion is out of date.
 constexpr auto suspicion_lapse = std::chrono::seconds{2};
 
@@ -77,15 +79,17 @@
     [[nodiscard]] bool live() const noexcept { return this->listed && !this->record.leaving; }
 
     void flag(const time_point now) noexcept {
+        const duration first = this->unreachable ? first_unreachable_pause : first_trial_pause;
+        const duration longest = this->unreachable ? duration{longest_unreachable_pause} : longest_trial_pause;
         if (!this->flagged) {
             this->flagged = true;
             this->suspect_since = now;
-            this->trial_pause = first_trial_pause;
+            this->trial_pause = first;
         } else {
-            this->trial_pause = std::min<duration>(2 * this->trial_pause, longest_trial_pause);
+            this->trial_pause = std::clamp<duration>(2 * this->trial_pause, first, longest);
         }
         this->last_evidence = now;
-        this->trial_after = now + (this->unreachable ? duration{unreachable_pause} : this->trial_pause);
+        this->trial_after = now + this->trial_pause;
     }
 
     void clear_suspicion(const time_point now) noexcept {
--- a/test/fake/fake_target_client.hpp
+++ b/test/fake/fake_target_client.hpp
@@ -31,6 +31,8 @@
         : time{source}, sleep{std::move(wait_until)} {}
 
     script reply{};
+    /*! @brief Called by each cancellation before it counts as done. */
+    std::function<void()> on_cancel{[] {}};
 
     [[nodiscard]] mangopulley::result<std::unique_ptr<mangopulley::exchange>>
     begin(std::string_view endpoint, const mangopulley::target_request& request) override {
@@ -97,6 +99,7 @@
         }
 
         void cancel() noexcept override {
+            this->client.on_cancel();
             const std::lock_guard lock{this->client.guard};
             this->client.cancelled_ids.insert(this->id);
         }
--- a/test/mangopulley/routing/call_runner.cpp
+++ b/test/mangopulley/routing/call_runner.cpp
@@ -1,7 +1,11 @@
+#include <atomic>
 #include <deque>
+#include <future>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <fake/fake_clock.hpp>
@@ -158,3 +162,71 @@
         }
     }
 }
+
+// Guards against the answer of a cancelled attempt reaching this caller or a later one, and against a caller that waits
+// for the cancellation.
+TEST(call_runner, returns_only_the_first_whole_answer_and_cancels_the_loser_in_the_background) {
+    std::promise<void> gate{};
+    auto opened = gate.get_future().share();
+    std::atomic<bool> blocked_too_long{};
+    this->client.on_cancel = [&, opened] { blocked_too_long = opened.wait_for(5s) != std::future_status::ready; };
+    this->next({{40ms}, {usual}});
+    const auto seen = this->call(true);
+    const auto id = "call" + std::to_string(this->calls);
+    STRCMP_EQUAL((id + '@' + id + "-2").c_str(), seen.body.c_str());
+    CHECK_EQUAL(0U, this->client.cancelled().size());
+    const auto busy = [&] {
+        std::uint32_t sum{};
+        for (const auto& target : this->queue.describe().targets) {
+            sum += target.in_flight;
+        }
+        return sum;
+    };
+    CHECK_EQUAL(1U, busy());
+    gate.set_value();
+    for (int round = 0; round < 5000 && busy() > 0U; ++round) {
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK_EQUAL(0U, busy());
+    CHECK_FALSE(blocked_too_long);
+    CHECK_TRUE(this->client.cancelled() == std::set<std::string>{id + "-1"});
+    for (int number = 0; number < 2 * target_count; ++number) {
+        const auto later = this->call(true);
+        CHECK_TRUE(later.body.starts_with("call" + std::to_string(this->calls) + '@'));
+    }
+    CHECK_EQUAL(1U, this->runner->counts().hedge_wins);
+}
+
+// Guards against hedges beyond the budget.
+TEST(call_runner, does_not_hedge_without_budget) {
+    this->budgets(1.0, 0.0);
+    this->next({{100ms}});
+    const auto start = this->time.now();
+    CHECK_EQUAL(200, this->call(true).status);
+    CHECK_TRUE(this->time.now() - start == 100ms);
+    CHECK_EQUAL(0U, this->runner->counts().hedges);
+}
+
+// Guards against retry storms: extra attempts that keep all targets slow after the cause has gone.
+TEST(call_runner, sends_at_most_a_tenth_more_attempts_when_all_targets_fail) {
+    const std::pair<const char*, target_reply> faults[] = {
+        {"stall", {10s}}, {"broken", {1ms, 0, code::broken}}, {"error", {1ms, 500}}, {"shed", {1ms, 0, code::shed}}};
+    for (const auto& [name, fault] : faults) {
+        this->budgets(0.10, 0.05);
+        const auto before = this->client.attempts().size();
+        this->client.reply = [reply = fault](const auto&, const auto&) { return reply; };
+        constexpr std::size_t tries = 500U;
+        for (std::size_t number = 0U; number < tries; ++number) {
+            static_cast<void>(this->call(true, 50ms));
+            this->time.advance(5ms);
+        }
+        const auto attempts = this->client.attempts().size() - before;
+        CHECK_TRUE_TEXT(attempts <= tries + tries / 10U, name);
+        CHECK_TRUE_TEXT(attempts >= tries / 2U, name);
+        this->client.reply = [](const auto&, const auto&) { return target_reply{usual}; };
+        this->time.advance(5s);
+        for (int number = 0; number < 2 * target_count; ++number) {
+            CHECK_EQUAL_TEXT(200, this->call(true).status, name);
+        }
+    }
+}
--- /dev/null
+++ b/test/mangopulley/routing/stress.cpp
@@ -0,0 +1,144 @@
+#include <atomic>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <fake/fake_target_client.hpp>
+#include <mangopulley/routing/call_runner.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using fake::target_reply;
+using mangopulley::target_error;
+using mangopulley::target_record;
+using code = enum target_error::code;
+
+namespace {
+
+constexpr std::uint64_t seed = 20260101U;
+constexpr std::size_t workers = 24U;
+constexpr int calls_per_worker = 300;
+constexpr std::size_t targets = 6U;
+
+/*! @brief What a target does is a function of the attempt's id, so that runs with the same seed meet the same faults.
+ */
+[[nodiscard]] target_reply fault_of(const std::string& endpoint, const std::string& id) {
+    std::mt19937_64 generator{seed ^ std::hash<std::string>{}(endpoint + id)};
+    const auto dice = generator() % 100U;
+    const auto usual = std::chrono::microseconds{200 + generator() % 400U};
+    if (dice < 2U) {
+        return {usual, 0, code::shed};
+    }
+    if (dice < 4U) {
+        return {0ms, 0, code::not_sent};
+    }
+    if (dice < 6U) {
+        return {usual, 0, code::broken};
+    }
+    if (dice < 8U) {
+        return {100us, 500};
+    }
+    if (dice < 11U) {
+        return {20ms};
+    }
+    return {usual, 200, code::broken, dice == 99U};
+}
+
+} // namespace
+
+TEST_GROUP(routing_stress){};
+
+// Guards against races, swapped answers, second runs of orders, lost slots and lost wake-ups under many threads.
+TEST(routing_stress, keeps_its_promises_under_concurrent_calls_and_faults) {
+    const mangopulley::system_clock_source time{};
+    fake::fake_target_client client{time,
+                                    [](const mangopulley::time_point until) { std::this_thread::sleep_until(until); }};
+    client.reply = [](const auto& endpoint, const auto& request) { return fault_of(endpoint, request.request_id); };
+    mangopulley::dispatcher queue{{.name = "stress", .owner = "owner", .slots_per_target = 2},
+                                  mangopulley::make_policy("slot_aware", seed),
+                                  time};
+    std::vector<target_record> records(targets);
+    for (std::size_t number = 0U; number < targets; ++number) {
+        records[number].id = records[number].endpoint = std::to_string(number);
+    }
+    queue.update(records);
+    mangopulley::retry_budget retries{};
+    mangopulley::hedge_budget hedges{};
+    mangopulley::cancel_pool cancellations{4U};
+    cancellations.start();
+    mangopulley::call_runner runner{queue, client, retries, hedges, cancellations, time};
+
+    std::atomic<int> answered{};
+    std::atomic<int> failed{};
+    std::atomic<int> wrong{};
+    std::atomic<int> overfull{};
+    {
+        std::vector<std::jthread> threads{};
+        threads.reserve(workers + 1U);
+        for (std::size_t worker = 0U; worker < workers; ++worker) {
+            threads.emplace_back([&, worker] {
+                for (int number = 0; number < calls_per_worker; ++number) {
+                    const bool idempotent = number % 3 != 0;
+                    mangopulley::call_request request{};
+                    request.rule = {.name = idempotent ? "read" : "order", .idempotent = idempotent};
+                    request.request_id = std::to_string(worker) + '.' + std::to_string(number);
+                    request.body = request.request_id;
+                    request.deadline = time.now() + 200ms;
+                    request.retry_budget = 2U;
+                    boost::leaf::try_handle_all(
+                        [&]() -> mangopulley::result<void> {
+                            BOOST_LEAF_AUTO(answer, runner.run(request));
+                            ++answered;
+                            wrong += answer.body.starts_with(request.body + '@' + request.body + '-') ? 0 : 1;
+                            return {};
+                        },
+                        [&](const target_error&) { ++failed; }, [&](const mangopulley::queue_error&) { ++failed; },
+                        [&] { ++wrong; });
+                }
+            });
+        }
+        threads.emplace_back([&](const std::stop_token& stop) {
+            for (bool present = true; !stop.stop_requested(); present = !present) {
+                const auto count = present ? targets : targets - 1U;
+                queue.update(std::span{records}.first(count));
+                for (const auto& target : queue.describe().targets) {
+                    overfull += target.in_flight > 2U ? 1 : 0;
+                }
+                std::this_thread::sleep_for(1ms);
+            }
+        });
+        for (std::size_t worker = 0U; worker < workers; ++worker) {
+            threads[worker].join();
+        }
+    }
+    cancellations.stop();
+
+    std::set<std::string> may_have_run{};
+    std::size_t attempts{};
+    for (const auto& [endpoint, id] : client.attempts()) {
+        ++attempts;
+        const auto base = id.substr(0U, id.rfind('-'));
+        const auto number = std::stoi(base.substr(base.find('.') + 1U));
+        const auto fault = fault_of(endpoint, id);
+        const bool not_run = fault.status == 0 && (fault.failure == code::shed || fault.failure == code::not_sent);
+        if (number % 3 == 0 && !not_run) {
+            CHECK_TRUE_TEXT(may_have_run.insert(base).second, base.c_str());
+        }
+    }
+    const auto calls = static_cast<int>(workers) * calls_per_worker;
+    CHECK_EQUAL(0, wrong);
+    CHECK_EQUAL(0, overfull);
+    CHECK_EQUAL(calls, answered + failed);
+    CHECK_TRUE(answered > calls / 2);
+    const auto counts = runner.counts();
+    CHECK_EQUAL(attempts, counts.attempts);
+    CHECK_TRUE(counts.retries <= counts.calls / 10U);
+    CHECK_TRUE(counts.hedges <= counts.calls / 20U);
+    for (const auto& target : queue.describe().targets) {
+        CHECK_EQUAL(0U, target.in_flight);
+    }
+}
--- /dev/null
+++ b/test/mangopulley/routing/target_table.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <fake/fake_clock.hpp>
+#include <mangopulley/routing/target_table.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using mangopulley::attempt_outcome;
+using mangopulley::load_report;
+using mangopulley::observation;
+using mangopulley::target_record;
+using mangopulley::target_table;
+using mangopulley::target_view;
+
+TEST_GROUP(target_table) {
+    fake::fake_clock time{};
+    target_table table{{2U, 220U}};
+    std::vector<target_record> records{};
+    std::vector<target_view> views{};
+
+    void list(const std::size_t count, const int answers = 20) {
+        for (std::size_t number = 0U; number < count; ++number) {
+            this->records.push_back({"t" + std::to_string(number), "127.0.0.1:" + std::to_string(number), "a", false});
+        }
+        this->table.update(this->records);
+        for (std::size_t number = 0U; number < count; ++number) {
+            for (int answer = 0; answer < answers; ++answer) {
+                this->run(number, 10ms, {attempt_outcome::answered});
+            }
+        }
+    }
+
+    target_table::attempt* begin(const std::size_t index) {
+        return this->table.begin(index, "read", this->time.now());
+    }
+
+    void run(const std::size_t index, const mangopulley::duration answer_time, const observation& seen) {
+        auto* open = this->begin(index);
+        this->time.advance(answer_time);
+        static_cast<void>(this->table.end(open, seen, this->time.now()));
+    }
+
+    [[nodiscard]] const std::vector<target_view>& look(const std::vector<std::string>& excluded = {}) {
+        this->table.view(excluded, this->time.now(), this->views);
+        return this->views;
+    }
+
+    [[nodiscard]] std::size_t avoided() {
+        const auto& seen = this->look();
+        return static_cast<std::size_t>(std::ranges::count_if(seen, [](const auto& one) { return one.avoided; }));
+    }
+};
+
+// Guards against new work for a target that stalls while its former answers still look good.
+TEST(target_table, suspects_a_target_with_an_overdue_request_until_it_answers_in_normal_time) {
+    this->list(4U);
+    auto* open = this->begin(1U);
+    this->time.advance(29ms);
+    CHECK_FALSE(this->look()[1U].suspect);
+    this->time.advance(1ms);
+    CHECK_TRUE(this->look()[1U].avoided);
+    static_cast<void>(this->table.end(open, {attempt_outcome::answered}, this->time.now()));
+    CHECK_TRUE(this->look()[1U].avoided);
+    CHECK_FALSE(this->look()[1U].trial_due);
+    this->time.advance(20ms);
+    CHECK_TRUE(this->look()[1U].trial_due);
+    auto* trial = this->begin(1U);
+    CHECK_FALSE(this->look()[1U].trial_open);
+    this->time.advance(10ms);
+    static_cast<void>(this->table.end(trial, {attempt_outcome::answered}, this->time.now()));
+    CHECK_FALSE(this->look()[1U].suspect);
+}
+
+// Guards against a target that is avoided for ever because one request on it takes long by nature.
+TEST(target_table, a_normal_answer_clears_a_target_with_another_request_overdue) {
+    this->list(4U);
+    auto* slow = this->begin(1U);
+    this->time.advance(30ms);
+    this->run(1U, 10ms, {attempt_outcome::answered});
+    CHECK_FALSE(this->look()[1U].suspect);
+    this->time.advance(1s);
+    static_cast<void>(this->table.end(slow, {attempt_outcome::answered}, this->time.now()));
+    CHECK_FALSE(this->look()[1U].suspect);
+}
+
+// Guards against an empty pool when many or all targets are slow at once.
+TEST(target_table, avoids_at_most_half_of_the_targets_and_none_when_all_are_suspect) {
+    const std::size_t expected[] = {0U, 1U, 2U, 3U, 3U, 3U, 0U};
+    for (std::size_t suspects = 0U; suspects <= 6U; ++suspects) {
+        target_table fresh{{2U, 220U}};
+        std::vector<target_record> six{};
+        for (char name = 'a'; name < 'g'; ++name) {
+            six.push_back({std::string{name}, std::string{name}, "a", false});
+        }
+        fresh.update(six);
+        for (std::size_t index = 0U; index < suspects; ++index) {
+            static_cast<void>(
+                fresh.end(fresh.begin(index, "read", this->time.now()), {attempt_outcome::broken}, this->time.now()));
+        }
+        fresh.view({}, this->time.now(), this->views);
+        CHECK_EQUAL(expected[suspects],
+                    std::ranges::count_if(this->views, [](const auto& one) { return one.avoided; }));
+    }
+}
+
+// Guards against a target that attracts traffic by failing fast, and against blame for what isn't its fault.
+TEST(target_table, learns_from_each_outcome) {
+    struct expectation {
+        const char* name;
+        mangopulley::duration age;
+        observation seen;
+        bool suspect;
+        bool slower;
+    };
+    const expectation cases[] = {
+        {"normal answer", 10ms, {attempt_outcome::answered}, false, false},
+        {"slow answer", 40ms, {attempt_outcome::answered}, true, true},
+        {"fast failure", 1ms, {attempt_outcome::server_error}, true, true},
+        {"failure after the usual time", 10ms, {attempt_outcome::server_error}, false, false},
+        {"broken connection", 1ms, {attempt_outcome::broken}, true, true},
+        {"refused connection", 1ms, {attempt_outcome::not_sent}, true, false},
+        {"deadline shorter than the usual time", 5ms, {attempt_outcome::timed_out}, false, false},
+        {"timed out", 50ms, {attempt_outcome::timed_out}, true, true},
+        {"cancelled early", 15ms, {attempt_outcome::cancelled}, false, true},
+        {"cancelled late", 50ms, {attempt_outcome::cancelled}, true, true},
+        {"shed", 1ms, {attempt_outcome::shed}, false, false},
+        {"not used", 50ms, {attempt_outcome::unused}, false, false},
+    };
+    this->list(4U);
+    for (const auto& item : cases) {
+        this->time.advance(5s);
+        this->run(0U, 10ms, {attempt_outcome::answered});
+        this->run(0U, item.age, item.seen);
+        CHECK_EQUAL_TEXT(item.suspect, this->look()[0U].suspect, item.name);
+        CHECK_EQUAL_TEXT(item.slower, this->look()[0U].slowdown > 1.1, item.name);
+    }
+}
+
+// Guards against trust in reports that lag or mislead.
+TEST(target_table, corrects_load_reports_by_what_it_observes) {
+    struct expectation {
+        const char* name;
+        mangopulley::duration answer_time;
+        load_report load;
+        mangopulley::duration later;
+        std::uint32_t foreign;
+    };
+    const expectation cases[] = {
+        {"own request only", 20ms, {1U, 0U}, 0ms, 0U},
+        {"others work", 20ms, {2U, 0U}, 0ms, 1U},
+        {"others work and wait", 20ms, {2U, 3U}, 0ms, 4U},
+        {"decays by half in 50 ms", 20ms, {2U, 3U}, 50ms, 2U},
+        {"full by report but did not wait", 10ms, {2U, 50U}, 0ms, 1U},
+        {"no load by report but slow", 100ms, {0U, 0U}, 0ms, 3U},
+    };
+    this->list(4U);
+    for (const auto& item : cases) {
+        // An estimate of 12 from before, of which 3 are left after 100 ms, shows whether a report is ignored.
+        this->table.report("t0", {12U, 0U}, this->time.now());
+        this->run(0U, item.answer_time, {attempt_outcome::answered, item.load});
+        this->time.advance(item.later);
+        CHECK_EQUAL_TEXT(item.foreign, this->look()[0U].foreign, item.name);
+        this->time.advance(5s);
+    }
+    CHECK_EQUAL(2U, this->table.describe(this->time.now())[0U].contradicted_reports);
+}
+
+// Guards against new work for a leaving target, and against answers that empty the pool by false claims.
+TEST(target_table, stops_new_work_for_leaving_targets_unless_most_claim_it_without_the_platform) {
+    struct expectation {
+        const char* name;
+        std::size_t claims;
+        std::size_t leaving;
+        std::size_t usable;
+    };
+    const expectation cases[] = {
+        {"none", 0U, 0U, 6U},          {"one claim", 1U, 0U, 5U},        {"half claim", 3U, 0U, 3U},
+        {"most claim", 4U, 0U, 6U},    {"all claim", 6U, 0U, 6U},        {"platform says all", 0U, 6U, 0U},
+        {"both say some", 2U, 2U, 4U}, {"most of the rest", 5U, 2U, 4U},
+    };
+    for (const auto& item : cases) {
+        target_table fresh{{2U, 220U}};
+        std::vector<target_record> six{};
+        for (std::size_t index = 0U; index < 6U; ++index) {
+            const auto name = std::to_string(index);
+            six.push_back({name, name, "a", index < item.leaving});
+        }
+        fresh.update(six);
+        for (std::size_t index = 0U; index < item.claims; ++index) {
+            CHECK_TRUE(fresh.mark_draining(std::to_string(index), this->time.now()));
+        }
+        fresh.view({}, this->time.now(), this->views);
+        CHECK_EQUAL_TEXT(item.usable, this->views.size(), item.name);
+        CHECK_EQUAL_TEXT(item.usable > 0U, fresh.has_usable(), item.name);
+    }
+}
+
+// Guards against slots lost, or freed memory used, when a target disappears from the list in mid-request.
+TEST(target_table, keeps_a_removed_target_until_its_requests_end) {
+    this->list(2U);
+    auto* open = this->begin(0U);
+    this->table.update(std::vector{this->records[1U]});
+    CHECK_EQUAL(1U, this->look().size());
+    CHECK_EQUAL(2U, this->table.describe(this->time.now()).size());
+    STRCMP_EQUAL("t0", this->table.id(*open).c_str());
+    static_cast<void>(this->table.end(open, {attempt_outcome::answered}, this->time.now()));
+    CHECK_EQUAL(1U, this->table.describe(this->time.now()).size());
+}
+
+// Guards against a burst at a target with cold caches.
+TEST(target_table, gives_a_new_target_one_request_at_a_time_until_it_has_answered_a_few) {
+    this->list(1U, 0);
+    for (int answers = 0; answers < 3; ++answers) {
+        CHECK_EQUAL(1U, this->look()[0U].slots);
+        this->run(0U, 10ms, {attempt_outcome::answered});
+    }
+    CHECK_EQUAL(2U, this->look()[0U].slots);
+}
+
+// Guards against suspicion that outlives the slow spell when there is no traffic for trials.
+TEST(target_table, suspicion_lapses_after_2_s_but_an_unreachable_target_needs_a_trial) {
+    this->list(4U);
+    this->run(0U, 50ms, {attempt_outcome::answered});
+    this->run(1U, 1ms, {attempt_outcome::not_sent});
+    CHECK_EQUAL(2U, this->avoided());
+    CHECK_FALSE(this->look()[1U].trial_open);
+    this->time.advance(2001ms);
+    CHECK_FALSE(this->look()[0U].suspect);
+    CHECK_TRUE(this->look()[1U].avoided);
+    CHECK_TRUE(this->look()[1U].trial_due);
+}
+
+// Guards against hedging too late on a target that another request has shown to be slow.
+TEST(target_table, hedges_sooner_when_the_target_turns_suspect) {
+    this->list(4U);
+    for (int slower = 0; slower < 8; ++slower) {
+        this->run(1U, 25ms, {attempt_outcome::answered});
+        this->run(1U, 10ms, {attempt_outcome::answered});
+    }
+    auto* first = this->begin(0U);
+    const auto start = this->time.now();
+    CHECK_TRUE(this->table.hedge_time(*first, start) == start + 25ms);
+    this->time.advance(25ms);
+    auto* second = this->begin(0U);
+    CHECK_TRUE(this->table.hedge_time(*second, this->time.now()) == start + 25ms + 10ms);
+    static_cast<void>(this->table.end(first, {attempt_outcome::answered}, this->time.now()));
+    CHECK_TRUE(this->table.hedge_time(*second, this->time.now()) == start + 25ms + 25ms);
+    first = this->begin(1U);
+    static_cast<void>(this->table.end(first, {attempt_outcome::cancelled}, this->time.now()));
+    static_cast<void>(this->table.end(second, {attempt_outcome::cancelled}, this->time.now()));
+}
