--- a/src/mangopulley/routing/call_runner.cpp
+++ b/src/mangopulley/routing/call_runner.cpp
@@ -11,8 +11,8 @@
 
 namespace internal {
 
-// When a hedge is due but no other target is free, it is tried again after half the usual answer time.
-constexpr auto shortest_hedge_pause = std::chrono::milliseconds{1};
+// While a hedge is due but no target is free, the thread looks this often whether its claim was served.
+constexpr auto hedge_pause = std::chrono::milliseconds{1};
 // A target that refuses the connection costs others nothing, but the search for one that accepts has to end.
 constexpr std::uint32_t most_reconnects = 3U;
 
@@ -169,12 +169,21 @@
         return true;
     }
 
-    [[nodiscard]] bool try_hedge() {
+    [[nodiscard]] bool try_hedge(std::optional<second_claim>& claim) {
         if (!this->parts.hedges.available()) {
+            // A claim that could not be paid would keep a target idle.
+            claim.reset();
             return false;
         }
-        auto other = this->parts.queue.try_acquire_other(this->wanted(), this->tried);
-        if (!other || !this->parts.hedges.try_spend()) {
+        if (!claim) {
+            claim.emplace(this->parts.queue, this->wanted(), this->tried);
+        }
+        auto other = claim->poll();
+        if (!other) {
+            return false;
+        }
+        claim.reset();
+        if (!this->parts.hedges.try_spend()) {
             return false;
         }
         ++this->parts.hedged;
@@ -221,6 +230,7 @@
         }
         bool hedge_allowed = this->call.rule.idempotent;
         time_point next_hedge{};
+        std::optional<second_claim> claim{};
         std::vector<exchange*> waiting{};
         while (!this->open.empty()) {
             const auto now = this->parts.time.now();
@@ -233,12 +243,11 @@
             if (hedge_allowed) {
                 next_hedge = std::max(next_hedge, this->parts.queue.hedge_time(this->open.front().right));
                 if (next_hedge <= now) {
-                    if (this->try_hedge()) {
+                    if (this->try_hedge(claim)) {
                         hedge_allowed = false;
                         continue;
                     }
-                    next_hedge = now + std::max<duration>(this->parts.queue.expected_time(this->call.rule.name) / 2,
-                                                          internal::shortest_hedge_pause);
+                    next_hedge = now + internal::hedge_pause;
                 }
                 until = std::min(until, next_hedge);
             }
--- a/src/mangopulley/routing/dispatcher.cpp
+++ b/src/mangopulley/routing/dispatcher.cpp
@@ -38,6 +38,8 @@
     std::unique_ptr<policy> strategy;
     target_table table;
     wait_queue queue{};
+    /*! @brief Claims for second attempts, oldest first. */
+    std::vector<second_claim*> claims{};
     std::vector<target_view> views{};
     /*! @brief The waiting thread that looks at the clock for all. */
     internal::waiter* timekeeper{};
@@ -107,6 +109,23 @@
         }
     }
 
+    /*! @brief Tries to get a target for a second attempt. */
+    [[nodiscard]] std::optional<slot> choose_other(const wait_request& request,
+                                                   const std::span<const std::string> excluded, const time_point now) {
+        if (this->stopped || now >= request.deadline) {
+            return std::nullopt;
+        }
+        return this->choose(request, {request.idempotent, request.hedgeable, false, true}, excluded, now);
+    }
+
+    void serve_claims(const time_point now) {
+        for (auto* claim : this->claims) {
+            if (!claim->granted) {
+                claim->granted = this->choose_other(claim->request, claim->excluded, now);
+            }
+        }
+    }
+
     /*! @brief Gives free targets to waiting requests and fails those for which it is too late. */
     void place(const time_point now) {
         if (this->queue.size() == 0U) {
@@ -118,6 +137,9 @@
         if (!this->table.has_usable()) {
             this->fail_all(queue_error::code::no_target);
         }
+        if (this->queue.size() > 0U) {
+            this->serve_claims(now);
+        }
         while (const auto* next = this->queue.best(false)) {
             if (this->try_grant(waiter_of(*next), now)) {
                 continue;
@@ -245,11 +267,7 @@
 std::optional<slot> dispatcher::try_acquire_other(const wait_request& request,
                                                   const std::span<const std::string> excluded) {
     const std::lock_guard lock{this->self->guard};
-    const auto now = this->self->time.now();
-    if (this->self->stopped || now >= request.deadline) {
-        return std::nullopt;
-    }
-    return this->self->choose(request, {request.idempotent, request.hedgeable, false, true}, excluded, now);
+    return this->self->choose_other(request, excluded, this->self->time.now());
 }
 
 time_point dispatcher::hedge_time(const slot& open) const {
@@ -301,6 +319,28 @@
     }
 }
 
+second_claim::second_claim(dispatcher& source, const wait_request& wanted, std::vector<std::string> tried)
+    : owner{source}, request{wanted}, excluded{std::move(tried)} {
+    const std::lock_guard lock{this->owner.self->guard};
+    this->owner.self->claims.push_back(this);
+}
+
+second_claim::~second_claim() {
+    const std::lock_guard lock{this->owner.self->guard};
+    std::erase(this->owner.self->claims, this);
+}
+
+std::optional<slot> second_claim::poll() {
+    const std::lock_guard lock{this->owner.self->guard};
+    auto found = this->granted
+                     ? std::exchange(this->granted, std::nullopt)
+                     : this->owner.self->choose_other(this->request, this->excluded, this->owner.self->time.now());
+    if (found) {
+        std::erase(this->owner.self->claims, this);
+    }
+    return found;
+}
+
 slot::slot(dispatcher& source, target_table::attempt& open, std::string target, std::string endpoint) noexcept
     : owner{&source}, held{&open}, id{std::move(target)}, address{std::move(endpoint)} {}
 
--- a/src/mangopulley/routing/dispatcher.hpp
+++ b/src/mangopulley/routing/dispatcher.hpp
@@ -77,6 +77,38 @@
     std::string address{};
 };
 
+/**
+ * @brief Claim of a request in flight on a target for a second attempt at it.
+ *
+ * A claim comes before the requests that wait: its request is older than they are, and the hedge budget bounds how many
+ * there are. The claiming thread waits for an answer meanwhile, so it asks from time to time. One thread at a time may
+ * use a claim, and it must not outlive the dispatcher.
+ */
+class second_claim {
+public:
+    /**
+     * @brief Makes a claim.
+     * @param source Dispatcher.
+     * @param request Request; its views must stay valid for the life of the claim.
+     * @param excluded Ids of targets already tried.
+     */
+    second_claim(dispatcher& source, const wait_request& request, std::vector<std::string> excluded);
+    second_claim(const second_claim&) = delete;
+    second_claim& operator=(const second_claim&) = delete;
+    /*! @brief Gives the claim up, with its slot if there is one. */
+    ~second_claim();
+
+    /*! @brief Returns the right to send once more when a target that is not suspect is free; ends the claim then. */
+    [[nodiscard]] std::optional<slot> poll();
+
+private:
+    friend class dispatcher;
+    dispatcher& owner;
+    wait_request request;
+    std::vector<std::string> excluded;
+    std::optional<slot> granted{};
+};
+
 /*! @brief State of a dispatcher for the state dump. */
 struct dispatcher_snapshot {
     std::string service{};
@@ -162,6 +194,7 @@
 
 private:
     friend class slot;
+    friend class second_claim;
     struct implementation;
     void finish(target_table::attempt* ended, const observation& seen);
 
--- a/src/mangopulley/routing/fwd.hpp
+++ b/src/mangopulley/routing/fwd.hpp
@@ -17,6 +17,7 @@
 class hedge_budget;
 class policy;
 class retry_budget;
+class second_claim;
 class slot;
 class target_table;
 class wait_queue;
--- a/test/mangopulley/routing/dispatcher.cpp
+++ b/test/mangopulley/routing/dispatcher.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -237,3 +238,20 @@
     CHECK_EQUAL(1U, told.size());
     STRCMP_EQUAL("t2", told.front().c_str());
 }
+
+// Guards against a request that is stuck on a stalled target until its deadline because younger ones get all slots.
+TEST(dispatcher, serves_a_claim_for_a_second_attempt_before_waiting_requests) {
+    this->start(2);
+    auto held = this->fill();
+    const auto waiting = this->wait(this->request());
+    mangopulley::second_claim claim{*this->tested, this->request(), {held[0].target_id()}};
+    CHECK_FALSE(claim.poll().has_value());
+    const auto other =
+        std::ranges::find_if(held, [&](const auto& one) { return one.target_id() != held[0].target_id(); });
+    other->finish({attempt_outcome::answered});
+    CHECK_FALSE(waiting->done);
+    auto second = claim.poll();
+    CHECK_TRUE(second.has_value());
+    second->finish({attempt_outcome::answered});
+    CHECK_TRUE(waiting->ended());
+}
