--- a/bench/common/load_generator.cpp
+++ b/bench/common/load_generator.cpp
@@ -77,8 +77,7 @@
 }
 
 run_result run_load(const workload& load, const std::vector<arrival>& plan, const std::chrono::milliseconds warm_up,
-                    const std::size_t threads,
-                    const std::function<std::unique_ptr<request_sender>()>& make_sender) {
+                    const std::size_t threads, const std::function<std::unique_ptr<request_sender>()>& make_sender) {
     std::vector<partial_result> parts(threads);
     std::atomic<std::size_t> next{};
     const auto begin = clock_type::now() + std::chrono::milliseconds{200};
--- a/bench/common/workload.cpp
+++ b/bench/common/workload.cpp
@@ -77,7 +77,8 @@
     text << "services:\n";
     for (const auto& service : load.services) {
         // The limits leave room for a burst of half as much again and for the queue that it builds up.
-        text << "  - name: " << service.name << "\n    owner: " << service.owner << "\n    class: " << service.work_class
+        text << "  - name: " << service.name << "\n    owner: " << service.owner
+             << "\n    class: " << service.work_class
              << "\n    limits: {requests_per_second: " << static_cast<int>(2.0 * capacity(load, service))
              << ", concurrent: " << 4U * service.targets << ", waiting: " << 100U * service.targets
              << "}\n    measuring: {probes_per_target_per_second: 2, probes_per_second: " << 2U * service.targets
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -7,14 +7,12 @@
 #include <thread>
 #include <vector>
 
-#include <tclap/CmdLine.h>
-
 #include <mangopulley/catalogue/catalogue_editor.hpp>
 #include <mangopulley/core/clock.hpp>
 #include <mangopulley/store/http_store_client.hpp>
-
 #include <standin/common/cluster.hpp>
 #include <standin/common/wait_until.hpp>
+#include <tclap/CmdLine.h>
 
 #include "common/load_generator.hpp"
 #include "common/senders.hpp"
@@ -70,12 +68,12 @@
     options.workers = 1024U;
     options.log_level = "error";
     for (const auto& service : plan.load.services) {
-        options.services.push_back({service.name,
-                                    service.targets,
-                                    {"--service-time-us", std::to_string(plan.load.service_time.count()),
-                                     "--distribution", "exponential", "--probe-ms",
-                                     std::to_string(plan.load.probe_time.count()), "--report-lag-ms",
-                                     std::to_string(plan.report_lag_ms)}});
+        options.services.push_back(
+            {service.name,
+             service.targets,
+             {"--service-time-us", std::to_string(plan.load.service_time.count()), "--distribution", "exponential",
+              "--probe-ms", std::to_string(plan.load.probe_time.count()), "--report-lag-ms",
+              std::to_string(plan.report_lag_ms)}});
     }
     return options;
 }
@@ -103,7 +101,8 @@
     for (std::size_t index = 0U; index < system.entries(); ++index) {
         const auto in_force = [&] {
             const auto state = system.state(index);
-            return state.is_object() && state["catalogue"]["version"] == version && state["catalogue"]["serving"] == true;
+            return state.is_object() && state["catalogue"]["version"] == version &&
+                   state["catalogue"]["serving"] == true;
         };
         if (!standin::wait_until(in_force, milliseconds{10'000}, milliseconds{20})) {
             throw std::runtime_error{"an instance did not take over the catalogue"};
@@ -144,9 +143,8 @@
         put_policy(system, plan.load, item.policy);
     }
     const auto arrivals = bench::plan_arrivals(plan.load, plan.utilisation, plan.length, seed);
-    const auto spells = plan.noise_gap.count() > 0
-                            ? bench::plan_noise(plan.load, plan.length, plan.noise_gap, seed)
-                            : std::vector<bench::slow_spell>{};
+    const auto spells = plan.noise_gap.count() > 0 ? bench::plan_noise(plan.load, plan.length, plan.noise_gap, seed)
+                                                   : std::vector<bench::slow_spell>{};
     std::vector<std::string> instances{};
     for (std::size_t index = 0U; index < system.entries(); ++index) {
         instances.push_back(system.caller_address(index));
@@ -191,7 +189,8 @@
 void add(bench::run_result& total, const bench::run_result& part) {
     const auto weight = static_cast<double>(total.sent);
     const auto part_weight = static_cast<double>(part.sent);
-    total.worth_in_time = ((total.worth_in_time * weight) + (part.worth_in_time * part_weight)) / (weight + part_weight);
+    total.worth_in_time =
+        ((total.worth_in_time * weight) + (part.worth_in_time * part_weight)) / (weight + part_weight);
     total.latencies.insert(total.latencies.end(), part.latencies.begin(), part.latencies.end());
     std::sort(total.latencies.begin(), total.latencies.end());
     total.sent += part.sent;
@@ -238,21 +237,24 @@
 int main(int argc, char** argv) {
     TCLAP::CmdLine line{"Compares policies under one plan of arrivals and slow spells.", ' ', "1"};
     TCLAP::ValueArg<std::string> workload{"", "workload", "sialkot or daugava", false, "sialkot", "NAME", line};
-    TCLAP::ValueArg<double> load{"", "load", "part of the slots kept busy; above 1 is a burst", false, 0.7, "PART",
-                                 line};
+    TCLAP::ValueArg<double> load{"",     "load", "part of the slots kept busy; above 1 is a burst", false, 0.7,
+                                 "PART", line};
     TCLAP::ValueArg<std::string> seeds{"", "seeds", "seeds, separated by commas", false, "1,2,3", "LIST", line};
     TCLAP::ValueArg<std::string> policies{
-        "",      "policies",
+        "",
+        "policies",
         "policies to compare; @spread lets callers use any instance; oracle is the limit",
-        false,   "random@spread,round_robin@spread,least_in_flight@spread,two_choices@spread,slot_aware,oracle",
-        "LIST", line};
+        false,
+        "random@spread,round_robin@spread,least_in_flight@spread,two_choices@spread,slot_aware,oracle",
+        "LIST",
+        line};
     TCLAP::ValueArg<std::size_t> seconds{"", "seconds", "length of a run", false, 8U, "S", line};
-    TCLAP::ValueArg<std::size_t> noise{"", "noise-gap-ms", "mean time between slow spells; 0 for none", false, 400U,
-                                       "MS", line};
+    TCLAP::ValueArg<std::size_t> noise{
+        "", "noise-gap-ms", "mean time between slow spells; 0 for none", false, 400U, "MS", line};
     TCLAP::ValueArg<std::size_t> entries{"", "entries", "entry instances", false, 14U, "N", line};
     TCLAP::ValueArg<std::size_t> threads{"", "threads", "threads of the driver", false, 600U, "N", line};
     TCLAP::ValueArg<std::size_t> lag{"", "report-lag-ms", "age of the targets' load reports", false, 100U, "MS", line};
-    TCLAP::ValueArg<std::size_t> misleading{"", "misleading", "targets per service that report no load", false, 1U,
+    TCLAP::ValueArg<std::size_t> misleading{"",  "misleading", "targets per service that report no load", false, 1U,
                                             "N", line};
     line.parse(argc, argv);
     experiment plan{};
--- a/src/mangopulley/cli/command.cpp
+++ b/src/mangopulley/cli/command.cpp
@@ -1,7 +1,6 @@
 #include "command.hpp"
 
 #include <ostream>
-#include <vector>
 
 namespace mangopulley {
 
@@ -38,9 +37,7 @@
         internal::write_usage(err);
         return static_cast<int>(exit_code::usage);
     }
-    std::vector<std::string> rest{"mangopulley " + name};
-    rest.insert(rest.end(), arguments.begin() + 1, arguments.end());
-    return (*action)(rest, out, err);
+    return (*action)(arguments.subspan(1U), out, err);
 }
 
 } // namespace mangopulley
--- a/src/mangopulley/cli/command.hpp
+++ b/src/mangopulley/cli/command.hpp
@@ -6,18 +6,16 @@
 #include <string>
 
 #include "../core/registry.hpp"
+#include "exit_code.hpp"
 #include "fwd.hpp"
 
 namespace mangopulley {
 
-/*! @brief Exit codes of all commands, documented for scripts. */
-enum class exit_code : int { done = 0, failed = 1, usage = 2, rejected_input = 3, conflict = 4, outcome_unknown = 5 };
-
 /**
  * @brief Command of the program. Commands register themselves in `registry<command>` under their name.
  *
- * The arguments begin with the program's and the command's name joined by a space, as TCLAP expects. Results go to the
- * first stream, diagnostics to the second; the return value is an `exit_code`.
+ * The arguments are those after the command's name. Results go to the first stream, diagnostics to the second; the
+ * return value is an `exit_code`.
  */
 using command = std::function<int(std::span<const std::string> arguments, std::ostream& out, std::ostream& err)>;
 
--- a/src/mangopulley/cli/entry_command.cpp
+++ b/src/mangopulley/cli/entry_command.cpp
@@ -10,8 +10,8 @@
 #include "../entry/entry_process.hpp"
 #include "../observe/event_log.hpp"
 #include "../settings/settings.hpp"
-#include "arguments.hpp"
 #include "command.hpp"
+#include "command_line.hpp"
 
 namespace mangopulley {
 
@@ -52,15 +52,19 @@
 } // namespace internal
 
 int run_entry_command(const std::span<const std::string> arguments, std::ostream& out, std::ostream& err) {
-    TCLAP::CmdLine line{"Runs an entry instance until SIGTERM or SIGINT.", ' ', MANGOPULLEY_VERSION};
-    TCLAP::ValueArg<std::string> file{"", "settings", "YAML file with the settings", true, "", "FILE", line};
+    command_line line{"mangopulley entry", "Runs an entry instance until SIGTERM or SIGINT.", out, err};
+    TCLAP::ValueArg<std::string> file{"",     "settings",      "YAML file with the settings", true, "",
+                                      "FILE", line.arguments()};
     TCLAP::ValueArg<std::uint32_t> linger{
-        "",     "linger-ms",
+        "",
+        "linger-ms",
         "time to go on serving after the signal, in ms; default: until address lists that name it have run out",
-        false,  static_cast<std::uint32_t>(leaving_linger.count()),
-        "TIME", line};
-    if (const auto finished = parse_arguments(line, arguments, out, err)) {
-        return *finished;
+        false,
+        static_cast<std::uint32_t>(leaving_linger.count()),
+        "TIME",
+        line.arguments()};
+    if (const auto finished = line.parse(arguments)) {
+        return static_cast<int>(*finished);
     }
     std::ifstream stream{file.getValue()};
     if (!stream) {
--- a/src/mangopulley/cli/query_command.cpp
+++ b/src/mangopulley/cli/query_command.cpp
@@ -10,8 +10,8 @@
 #include <nlohmann/json.hpp>
 
 #include "../core/http_session.hpp"
-#include "arguments.hpp"
 #include "command.hpp"
+#include "command_line.hpp"
 
 namespace mangopulley {
 
@@ -23,8 +23,7 @@
 constexpr milliseconds query_timeout{5'000};
 
 /*! @brief Gets a page of a running process; writes what went wrong and returns nothing on failure. */
-[[nodiscard]] std::optional<std::string> fetch(const std::string& address, const std::string& path,
-                                               std::ostream& err) {
+[[nodiscard]] std::optional<std::string> fetch(const std::string& address, const std::string& path, std::ostream& err) {
     try {
         const auto session = http_session::connect(address, query_timeout);
         Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_GET, path, Poco::Net::HTTPMessage::HTTP_1_1};
@@ -54,12 +53,13 @@
 } // namespace internal
 
 int run_state_command(const std::span<const std::string> arguments, std::ostream& out, std::ostream& err) {
-    TCLAP::CmdLine line{"Prints the state dump of a running process as JSON.", ' ', MANGOPULLEY_VERSION};
-    TCLAP::ValueArg<std::string> from{"", "from", "operator address of the process", true, "", "IP:PORT", line};
-    TCLAP::ValueArg<std::string> section{"", "section", "print only this section", false, "", "NAME", line};
-    TCLAP::SwitchArg json{"", "json", "accepted for uniformity; the output is always JSON", line};
-    if (const auto finished = parse_arguments(line, arguments, out, err)) {
-        return *finished;
+    command_line line{"mangopulley state", "Prints the state dump of a running process as JSON.", out, err};
+    TCLAP::ValueArg<std::string> from{"",        "from",          "operator address of the process", true, "",
+                                      "IP:PORT", line.arguments()};
+    TCLAP::ValueArg<std::string> section{"", "section", "print only this section", false, "", "NAME", line.arguments()};
+    TCLAP::SwitchArg json{"", "json", "accepted for uniformity; the output is always JSON", line.arguments()};
+    if (const auto finished = line.parse(arguments)) {
+        return static_cast<int>(*finished);
     }
     const auto body = internal::fetch(from.getValue(), "/state", err);
     if (!body) {
@@ -79,12 +79,13 @@
 }
 
 int run_addresses_command(const std::span<const std::string> arguments, std::ostream& out, std::ostream& err) {
-    TCLAP::CmdLine line{"Prints the addresses that a caller of a service is told.", ' ', MANGOPULLEY_VERSION};
-    TCLAP::ValueArg<std::string> from{"", "from", "caller address of any entry instance", true, "", "IP:PORT", line};
-    TCLAP::ValueArg<std::string> service{"", "service", "name of the service", true, "", "NAME", line};
-    TCLAP::SwitchArg json{"", "json", "print the answer as JSON", line};
-    if (const auto finished = parse_arguments(line, arguments, out, err)) {
-        return *finished;
+    command_line line{"mangopulley addresses", "Prints the addresses that a caller of a service is told.", out, err};
+    TCLAP::ValueArg<std::string> from{"",        "from",          "caller address of any entry instance", true, "",
+                                      "IP:PORT", line.arguments()};
+    TCLAP::ValueArg<std::string> service{"", "service", "name of the service", true, "", "NAME", line.arguments()};
+    TCLAP::SwitchArg json{"", "json", "print the answer as JSON", line.arguments()};
+    if (const auto finished = line.parse(arguments)) {
+        return static_cast<int>(*finished);
     }
     std::string encoded{};
     Poco::URI::encode(service.getValue(), "?#&%+ /", encoded);
