--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -70,8 +70,8 @@
 }
 
 [[nodiscard]] problem unknown(std::string type, std::string detail) {
-    return {504,   "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
-            {}, {}};
+    return {504, "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
+            {},  {}};
 }
 
 [[nodiscard]] http_reply to_reply(const target_answer& answer) {
@@ -92,8 +92,16 @@
     const std::string type{mangopulley::to_string(outcome.reason)};
     switch (outcome.state) {
     case order_state::content_mismatch:
-        return {422, "not-run", "content-mismatch", "The key was used before with other content", outcome.detail, {},
-                {},  {},        {},                 {}};
+        return {422,
+                "not-run",
+                "content-mismatch",
+                "The key was used before with other content",
+                outcome.detail,
+                {},
+                {},
+                {},
+                {},
+                {}};
     case order_state::not_run: {
         auto cause = not_run(type, outcome.detail);
         cause.order_token = outcome.fresh_token.value_or("");
@@ -167,7 +175,8 @@
 
     /*! @brief Other instances for a caller that reached one which takes no requests. */
     [[nodiscard]] problem not_serving(const std::string& service) const {
-        auto cause = internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
+        auto cause =
+            internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
         for (const auto& item : this->addresses.addresses_of(service, internal::listed_addresses)) {
             if (item.incarnation != this->members.self().incarnation) {
                 cause.addresses.push_back(item.caller_address);
@@ -289,11 +298,9 @@
     [[nodiscard]] http_reply fail(problem cause, const std::string& request_id) {
         cause.request_id = request_id;
         this->numbers.count("problems_total{type=\"" + cause.type + "\",outcome=\"" + cause.outcome + "\"}");
-        this->log.write(log_level::info, "request_failed",
-                        {{"request_id", request_id},
-                         {"outcome", cause.outcome},
-                         {"type", cause.type},
-                         {"detail", cause.detail}});
+        this->log.write(
+            log_level::info, "request_failed",
+            {{"request_id", request_id}, {"outcome", cause.outcome}, {"type", cause.type}, {"detail", cause.detail}});
         return to_reply(cause);
     }
 
--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -139,9 +139,9 @@
     periodic_task sharer{"share_update", internal::share_period, [this] { this->update_shares(); }};
     periodic_task archiver{"order_archive", internal::archive_period, [this] { this->archive.step(); }};
     /*! @brief Plug-ins in the order of their start; they are members above, so none is owned here. */
-    std::vector<plugin*> order_of_start{&this->alerts, &this->cancellations, &this->peer_port, &this->follower,    &this->heartbeats,
-                                        &this->refresher,  &this->sharer,    &this->archiver,    &this->operator_port,
-                                        &this->caller_port};
+    std::vector<plugin*> order_of_start{&this->alerts,        &this->cancellations, &this->peer_port, &this->follower,
+                                        &this->heartbeats,    &this->refresher,     &this->sharer,    &this->archiver,
+                                        &this->operator_port, &this->caller_port};
     std::size_t started{};
     std::uint64_t gaps{};
     std::mutex leaving_guard{};
@@ -283,7 +283,9 @@
 entry_process::entry_process(settings configuration)
     : self{std::make_unique<implementation>(std::move(configuration))} {}
 
-entry_process::~entry_process() { this->stop(); }
+entry_process::~entry_process() {
+    this->stop();
+}
 
 void entry_process::start() {
     auto& state = *this->self;
--- a/src/mangopulley/entry/process_state.cpp
+++ b/src/mangopulley/entry/process_state.cpp
@@ -8,7 +8,9 @@
 
 namespace internal {
 
-[[nodiscard]] double to_ms(const duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
+[[nodiscard]] double to_ms(const duration time) {
+    return std::chrono::duration<double, std::milli>(time).count();
+}
 
 [[nodiscard]] nlohmann::json to_ms(const std::optional<duration>& time) {
     return time ? nlohmann::json(to_ms(*time)) : nlohmann::json(nullptr);
--- a/src/mangopulley/entry/service_runtime.cpp
+++ b/src/mangopulley/entry/service_runtime.cpp
@@ -8,7 +8,9 @@
 namespace internal {
 
 /*! @brief Seed of a policy; instances must not choose alike, so it differs from process to process. */
-[[nodiscard]] std::uint64_t policy_seed() { return incarnation_id::generate().value(); }
+[[nodiscard]] std::uint64_t policy_seed() {
+    return incarnation_id::generate().value();
+}
 
 } // namespace internal
 
--- a/src/mangopulley/entry/service_table.cpp
+++ b/src/mangopulley/entry/service_table.cpp
@@ -50,7 +50,8 @@
 
     implementation(const parts& environment, dispatcher::draining_listener callback)
         : time{environment.time}, catalogue{environment.catalogue}, members{environment.members},
-          draining{environment.draining}, targets{environment.targets}, cancellations{environment.cancellations}, listener{std::move(callback)} {}
+          draining{environment.draining}, targets{environment.targets},
+          cancellations{environment.cancellations}, listener{std::move(callback)} {}
 
     void adopt(const document& current) {
         const std::lock_guard lock{this->guard};
@@ -63,7 +64,7 @@
             const auto position = this->services.find(entry.name);
             if (position == this->services.end()) {
                 runtime = std::make_shared<service_runtime>(entry, this->targets, this->cancellations, this->time,
- this->listener);
+                                                            this->listener);
             } else {
                 runtime = position->second;
                 runtime->configure(entry);
