--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -50,7 +50,7 @@
 constexpr milliseconds target_connect_timeout{250};
 constexpr std::size_t idle_connections_per_target = 64U;
 constexpr milliseconds refresh_period{50};
-constexpr milliseconds share_period{500};
+constexpr milliseconds share_period{100};
 constexpr milliseconds archive_period{500};
 // Shares of limits need contact within this time; shorter than the 3 s after which others take a share over.
 constexpr milliseconds share_contact_age{2'000};
@@ -107,7 +107,7 @@
                                  [this] { return this->demands(); },
                                  this->incarnation.value()};
 
-    share_table shares{this->time};
+    share_table shares{};
     http_alert_sender alert_outlet{this->configuration.director_endpoints};
     alert_gate alerts{this->time, this->alert_outlet, this->configuration.instance_name};
     admission limits{this->time, this->shares, this->alerts};
@@ -227,7 +227,8 @@
         for (const auto& service : this->catalogue.current()->services) {
             demand_view view{};
             view.own = own[service.name];
-            view.total = view.own + others[service_hash(service.name)];
+            view.others = others[service_hash(service.name)];
+            view.limit = service.limits.requests_per_second;
             view.instances = this->members.live().size();
             view.standing = contact && *contact <= internal::share_contact_age;
             this->shares.update(service.name, view);
--- a/src/mangopulley/limit/admission.cpp
+++ b/src/mangopulley/limit/admission.cpp
@@ -130,7 +130,6 @@
             return limit_kind::requests_per_second;
         }
         ++usage.in_progress;
-        usage.meter.add(now);
         this->warn_early(usage, service, places);
         return std::nullopt;
     }
@@ -154,6 +153,8 @@
 result<permit> admission::admit(const service_entry& service, const time_point deadline) {
     const auto state = this->self->usage_of(service.name);
     std::unique_lock lock{state->guard};
+    // Refused requests count too: the instances share a limit by what is offered to them.
+    state->meter.add(this->self->time.now());
     while (true) {
         const auto obstacle = this->self->try_enter(*state, service);
         if (!obstacle) {
--- a/src/mangopulley/limit/share_table.hpp
+++ b/src/mangopulley/limit/share_table.hpp
@@ -5,17 +5,18 @@
 #include <string>
 #include <string_view>
 
-#include "../core/clock.hpp"
 #include "../core/fwd.hpp"
 
 namespace mangopulley {
 
 /*! @brief What an instance knows of the demand for one service. */
 struct demand_view {
-    /*! @brief Requests per second at this instance. */
+    /*! @brief Requests per second offered to this instance, refused ones included. */
     double own{};
-    /*! @brief Requests per second at all live instances, this one included. */
-    double total{};
+    /*! @brief Requests per second offered to the other live instances, as they last said. */
+    double others{};
+    /*! @brief Limit of the owner in requests per second; 0 when none was agreed. */
+    double limit{};
     /*! @brief Live instances, this one included. */
     std::size_t instances{1U};
     /*! @brief Whether this instance is in contact with others or the store. */
@@ -25,14 +26,13 @@
 /**
  * @brief This instance's shares of the owners' limits.
  *
- * The shares of all instances add up to the limit as long as they agree on the demands. While they disagree, an
- * instance shrinks its share at once and grows it only after 3 s, by when the others have heard of the change and have
- * shrunk theirs. Thread-safe.
+ * Below the limit an instance may use what the others leave; above it the instances share the limit by their demands. A
+ * refusal is therefore true as far as the last heartbeats tell. While demand moves, the sum of the shares exceeds the
+ * limit by what was moved, until the heartbeats have spread the change. Thread-safe.
  */
 class share_table {
 public:
-    /*! @brief Prepares a table without services; the clock must outlive it. */
-    explicit share_table(const clock& time);
+    share_table();
     share_table(const share_table&) = delete;
     share_table& operator=(const share_table&) = delete;
     ~share_table();
@@ -44,7 +44,7 @@
      */
     void update(std::string_view service, const demand_view& view);
 
-    /*! @brief Drops all shares to zero, for an instance that was paused; they grow again as after a start. */
+    /*! @brief Drops all shares to zero until the next update, for an instance that was paused. */
     void drop_all();
 
     /*! @brief Returns the share of a service's limits, from 0 to 1. */
