--- a/test/standin/common/cluster.cpp
+++ b/test/standin/common/cluster.cpp
@@ -251,6 +251,10 @@
     return loopback(this->self->entries.at(index).operator_port);
 }
 
+std::string cluster::store_address(const std::size_t index) const {
+    return this->self->entries.at(index).store_address;
+}
+
 std::string cluster::peer_address(const std::size_t index) const {
     return loopback(this->self->entries.at(index).peer_port);
 }
--- a/test/standin/common/cluster.hpp
+++ b/test/standin/common/cluster.hpp
@@ -88,7 +88,9 @@
     [[nodiscard]] std::string target_id(std::string_view service, std::size_t index) const;
     [[nodiscard]] std::string caller_address(std::size_t index) const;
     [[nodiscard]] std::string operator_address(std::size_t index) const;
-    /*! @brief Address in the instance list. */
+    /*! @brief Address at which an entry process reaches the store. */
+    [[nodiscard]] std::string store_address(std::size_t index) const;
+    /*! @brief Address that an entry process listens on for the others, as in the instance list. */
     [[nodiscard]] std::string peer_address(std::size_t index) const;
 
     /*! @brief Sends a caller's request, `POST /v1/services/{service}/kinds/{kind}`. */
