Compare content of handed-over outcomes and end forwards early

Cause: an outcome that a home handed to a witness carried no fingerprint, so a later request with other content under the same key received the first request's answer. Outcomes now carry the fingerprint, and `forward` compares it. A forward also waited for the home to the end of its deadline less a quarter, in which the home still worked: the home now gets the deadline less 20 ms (at most a tenth), so that its reply arrives before the instance gives up.

Ruled out: comparing at the witness, which does not know the request's content when it is asked to seal.

Also: `take_pending` during a write in progress left wrong counts; `shutdown_report` names unfinished orders.

--- a/src/mangopulley/order/ledger.cpp
+++ b/src/mangopulley/order/ledger.cpp
@@ -130,8 +130,7 @@
         return this->self->decide_new(key, fingerprint, refusal);
     }
     if (!fingerprint.empty() && !record->fingerprint.empty() && record->fingerprint != fingerprint) {
-        return make_outcome(order_state::content_mismatch, order_reason::none, true,
-                            "the key was used before with other content");
+        return content_mismatch();
     }
     while (!record->outcome) {
         const auto remaining = deadline - this->self->time.now();
--- a/src/mangopulley/order/order_archive.cpp
+++ b/src/mangopulley/order/order_archive.cpp
@@ -217,18 +217,27 @@
 std::vector<keyed_outcome> order_archive::take_pending() {
     std::vector<keyed_outcome> all{};
     const std::lock_guard lock{this->self->guard};
-    if (this->self->open && !this->self->writing) {
+    auto& total = this->self->total;
+    total.pending = 0U;
+    total.pending_bytes = 0U;
+    if (this->self->open) {
         for (const auto& entry : this->self->open->entries) {
             all.push_back({entry.key.to_string(), entry.outcome});
         }
+    }
+    // A write in progress ends by itself and takes its entries off the counts.
+    if (this->self->writing) {
+        for (const auto& entry : this->self->open->entries) {
+            ++total.pending;
+            total.pending_bytes += entry.bytes;
+        }
+    } else {
         this->self->open.reset();
     }
     for (const auto& entry : this->self->pending) {
         all.push_back({entry.key.to_string(), entry.outcome});
     }
     this->self->pending.clear();
-    this->self->total.pending = 0U;
-    this->self->total.pending_bytes = 0U;
     return all;
 }
 
--- a/src/mangopulley/order/order_service.cpp
+++ b/src/mangopulley/order/order_service.cpp
@@ -100,13 +100,15 @@
     }
 
     [[nodiscard]] order_outcome run_as_home(const order_key& key, const order_request& request) {
-        auto known =
-            this->parts.records->admit(key, content_fingerprint(request), request.deadline, this->refusal_of(request));
+        auto content = content_fingerprint(request);
+        auto known = this->parts.records->admit(key, content, request.deadline, this->refusal_of(request));
         if (known) {
             return std::move(*known);
         }
         auto reached = ledger::stage::accepted;
-        auto outcome = std::make_shared<const order_outcome>(this->execute(key, request, reached));
+        auto made = this->execute(key, request, reached);
+        made.content = std::move(content);
+        const auto outcome = std::make_shared<const order_outcome>(std::move(made));
         this->parts.records->finish(key, outcome);
         // Without a note the witnesses prove by themselves that the order did not run.
         if (reached != ledger::stage::accepted) {
@@ -183,14 +185,22 @@
             return make_outcome(order_state::unknown, order_reason::deadline_passed, false,
                                 "the deadline passed before the home could be asked");
         }
-        // The rest of the deadline is for asking the witnesses when the home is silent.
+        // The home must end early enough for its reply to arrive, and the witnesses are asked in the rest of the time.
         const auto remaining = std::chrono::duration_cast<milliseconds>(request.deadline - now);
-        const auto reserve = std::min(2 * this->timing.seal, remaining / 4);
+        const auto margin = std::min(this->timing.forward_margin, remaining / 10);
         auto bound = request;
         bound.key = key.to_string();
+        bound.deadline -= margin;
         auto outcome = this->call_home(key, message_type::order_forward, encode_forward(bound, now),
-                                       std::max(remaining - reserve, milliseconds{1}));
-        return outcome ? std::move(*outcome) : this->settle(key);
+                                       std::max(remaining - margin / 2, milliseconds{1}));
+        if (!outcome) {
+            outcome = this->settle(key);
+        }
+        // The home compares the content itself; an outcome that it handed to a witness is compared here.
+        if (!outcome->content.empty() && outcome->content != content_fingerprint(request)) {
+            return content_mismatch();
+        }
+        return std::move(*outcome);
     }
 
     /**
@@ -510,6 +520,7 @@
 order_service::shutdown_report order_service::shut_down() {
     this->drain();
     shutdown_report report{};
+    report.unfinished = this->self->parts.records->count().unfinished;
     report.archived = this->self->parts.archive->flush();
     if (report.archived) {
         return report;
--- a/src/mangopulley/order/order_service.hpp
+++ b/src/mangopulley/order/order_service.hpp
@@ -27,6 +27,8 @@
     /*! @brief For a seal; it is sent only after the home failed to answer. */
     milliseconds seal{150};
     milliseconds query{500};
+    /*! @brief Taken off the deadline of a forwarded request, at most a tenth of it, for the way back and the seals. */
+    milliseconds forward_margin{20};
     /*! @brief For handing over outcomes at shutdown. */
     milliseconds handover{1000};
 };
@@ -58,6 +60,8 @@
     /*! @brief What became of the outcomes that were not archived when the process shuts down. */
     struct shutdown_report {
         bool archived{};
+        /*! @brief Orders still in progress; their outcomes are neither archived nor handed over. */
+        std::size_t unfinished{};
         std::size_t handed_over{};
         std::size_t lost{};
     };
--- a/src/mangopulley/order/order_types.cpp
+++ b/src/mangopulley/order/order_types.cpp
@@ -13,7 +13,7 @@
 
 namespace internal {
 
-constexpr std::uint32_t outcome_fields = 8U;
+constexpr std::uint32_t outcome_fields = 9U;
 constexpr std::uint32_t forward_fields = 10U;
 // Groups are cut by bytes well before this count.
 constexpr std::uint32_t largest_group = 100'000U;
@@ -33,7 +33,7 @@
     writer.number(static_cast<std::uint64_t>(outcome.reason)).text(outcome.detail);
     writer.text(outcome.fresh_token.value_or("")).boolean(outcome.settled);
     writer.number(static_cast<std::uint64_t>(std::max(outcome.answer.status, 0)));
-    writer.text(outcome.answer.content_type).text(outcome.answer.body);
+    writer.text(outcome.content).text(outcome.answer.content_type).text(outcome.answer.body);
 }
 
 [[nodiscard]] std::optional<order_outcome> read_outcome(message_reader& reader) {
@@ -47,6 +47,7 @@
     }
     outcome.settled = reader.boolean();
     const auto status = reader.number();
+    outcome.content = reader.text();
     outcome.answer.content_type = reader.text();
     outcome.answer.body = reader.text();
     if (!reader.valid() || fields != outcome_fields || state == 0U || state >= state_names.size() ||
@@ -90,6 +91,11 @@
     return outcome;
 }
 
+order_outcome content_mismatch() {
+    return make_outcome(order_state::content_mismatch, order_reason::none, true,
+                        "the key was used before with other content");
+}
+
 std::string_view to_string(const order_state state) noexcept {
     return internal::state_names.at(static_cast<std::size_t>(state));
 }
--- a/src/mangopulley/order/order_types.hpp
+++ b/src/mangopulley/order/order_types.hpp
@@ -100,11 +100,16 @@
     std::optional<std::string> fresh_token{};
     /*! @brief Whether no later outcome of this key can contradict this one. */
     bool settled{};
+    /*! @brief Fingerprint of the content that the outcome belongs to; empty when no content was accepted. */
+    std::string content{};
 };
 
 /*! @brief Makes an outcome without an answer. */
 [[nodiscard]] order_outcome make_outcome(order_state state, order_reason reason, bool settled, std::string detail = {});
 
+/*! @brief Makes the outcome of a request whose key was used before with other content. */
+[[nodiscard]] order_outcome content_mismatch();
+
 /*! @brief Returns the name of a state as in the header `Mangopulley-Outcome`. */
 [[nodiscard]] std::string_view to_string(order_state state) noexcept;
 /*! @brief Returns the name of a reason for problem bodies and logs. */
--- a/test/mangopulley/order/fleet.hpp
+++ b/test/mangopulley/order/fleet.hpp
@@ -50,6 +50,10 @@
         const std::lock_guard lock{this->guard};
         return this->dead.contains(id);
     }
+    void bury(const incarnation_id id) {
+        const std::lock_guard lock{this->guard};
+        this->dead.insert(id);
+    }
     void put(const std::size_t place, const incarnation_id id, const std::string& endpoint) {
         const std::lock_guard lock{this->guard};
         this->ring.resize(std::max(this->ring.size(), place + 1U));
@@ -89,13 +93,15 @@
     [[nodiscard]] mangopulley::result<mangopulley::target_answer>
     run(const mangopulley::order_request& request) override {
         this->before();
-        if (this->stopped() || this->fault == target_error::code::not_sent) {
+        // Read once: a fault that a schedule sets while the target works must not turn a run into `not_sent`.
+        const auto struck = this->fault;
+        if (this->stopped() || struck == target_error::code::not_sent) {
             return boost::leaf::new_error(target_error{target_error::code::not_sent, "target", "injected", false});
         }
         auto answer = this->target.run(request.body);
         this->after();
-        if (this->fault) {
-            return boost::leaf::new_error(target_error{*this->fault, "target", "injected", false});
+        if (struck) {
+            return boost::leaf::new_error(target_error{*struck, "target", "injected", false});
         }
         return answer;
     }
--- a/test/mangopulley/order/order_service.cpp
+++ b/test/mangopulley/order/order_service.cpp
@@ -355,6 +355,8 @@
         each.kill(home);
         const auto told = each.query(entrance, key);
         CHECK_TRUE(told.state == answered && told.answer.body == "done body");
+        // The answer that a witness holds is that of the first content.
+        CHECK_TRUE(!store_down || each.submit(entrance, key, "second").state == content_mismatch);
         // The witness archives on behalf of the home once the store is back.
         each.store.down = false;
         each.members[first_witness]->archive.step();
--- a/test/mangopulley/order/order_types.cpp
+++ b/test/mangopulley/order/order_types.cpp
@@ -12,6 +12,7 @@
     auto outcome = make_outcome(order_state::answered, order_reason::none, true, "detail");
     outcome.answer = {201, std::string{"\0\xff body", 7U}, "text/plain", std::nullopt, false};
     outcome.fresh_token = "token";
+    outcome.content = "content";
     return outcome;
 }
 
@@ -40,7 +41,7 @@
     const auto same = [](const order_outcome& read) {
         const auto wanted = sample_outcome();
         return read.state == wanted.state && read.reason == wanted.reason && read.settled && read.detail == "detail" &&
-               read.fresh_token == wanted.fresh_token && read.answer.status == 201 &&
+               read.content == "content" && read.fresh_token == wanted.fresh_token && read.answer.status == 201 &&
                read.answer.body == wanted.answer.body && read.answer.content_type == "text/plain";
     };
     const auto home = decode_home_answer(encode_home_answer({"key", sample_outcome()}));
