--- /dev/null
+++ b/src/mangopulley/lease/lease_keeper.cpp
@@ -0,0 +1,336 @@
+#include "lease_keeper.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "../store/store_client.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+// Writes whose effect is unknown and that may still show up in the store; older ones have lapsed by then.
+constexpr std::size_t most_pending_writes = 8U;
+
+// Bounds what a damaged value can make observers wait.
+constexpr std::uint64_t longest_duration_ms = 600'000U;
+
+/*! @brief Former holder whose tenure with that fence number lapsed. */
+struct lapsed_tenure {
+    incarnation_id holder{};
+    std::uint64_t fence{};
+};
+
+struct lease_value {
+    incarnation_id holder{};
+    /*! @brief Marks one write; a value that differs in nothing else is still recognised as one's own or not. */
+    std::uint64_t write{};
+    std::uint64_t fence{};
+    milliseconds duration{};
+    std::vector<lapsed_tenure> lapsed{};
+};
+
+[[nodiscard]] std::string to_text(const lease_value& value) {
+    auto lapsed = nlohmann::json::array();
+    for (const auto& tenure : value.lapsed) {
+        lapsed.push_back({{"holder", tenure.holder.to_string()}, {"fence", tenure.fence}});
+    }
+    return nlohmann::json{{"holder", value.holder.to_string()},
+                          {"write", incarnation_id{value.write}.to_string()},
+                          {"fence", value.fence},
+                          {"duration_ms", value.duration.count()},
+                          {"lapsed", std::move(lapsed)}}
+        .dump();
+}
+
+[[nodiscard]] std::optional<incarnation_id> read_id(const nlohmann::json& value) {
+    return value.is_string() ? incarnation_id::parse(value.get_ref<const std::string&>()) : std::nullopt;
+}
+
+[[nodiscard]] std::optional<lease_value> to_value(const std::string& text) {
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("holder") || !json.contains("write") || !json.contains("fence") ||
+        !json.contains("duration_ms") || !json.contains("lapsed") || !json["fence"].is_number_unsigned() ||
+        !json["duration_ms"].is_number_unsigned() || !json["lapsed"].is_array()) {
+        return std::nullopt;
+    }
+    const auto holder = read_id(json["holder"]);
+    const auto write = read_id(json["write"]);
+    if (!holder || !write) {
+        return std::nullopt;
+    }
+    lease_value value{*holder,
+                      write->value(),
+                      json["fence"].get<std::uint64_t>(),
+                      milliseconds{std::min(json["duration_ms"].get<std::uint64_t>(), longest_duration_ms)},
+                      {}};
+    for (const auto& entry : json["lapsed"]) {
+        if (!entry.is_object() || !entry.contains("holder") || !entry.contains("fence") ||
+            !entry["fence"].is_number_unsigned()) {
+            return std::nullopt;
+        }
+        const auto former = read_id(entry["holder"]);
+        if (!former) {
+            return std::nullopt;
+        }
+        value.lapsed.push_back({*former, entry["fence"].get<std::uint64_t>()});
+    }
+    return value;
+}
+
+struct pending_write {
+    lease_value value{};
+    time_point sent{};
+};
+
+struct lease_record {
+    bool busy{};
+    /*! @brief Object as last seen; version 0 when there is none. */
+    std::uint64_t version{};
+    std::optional<lease_value> value{};
+    /*! @brief Time at which this version was first seen, counted from after the answer. */
+    time_point seen{};
+    /*! @brief Whether `version` and `value` are the latest as far as this instance can tell. */
+    bool known{};
+    std::optional<lease_grant> grant{};
+    /*! @brief Own writes whose effect is unknown. */
+    std::deque<pending_write> pending{};
+    /*! @brief Time since which each lapsed tenure is known here, by fence number. */
+    std::map<std::uint64_t, time_point> lapsed_since{};
+};
+
+/*! @brief Clears the busy mark of a record. */
+class busy_mark {
+public:
+    busy_mark(std::mutex& lock, lease_record& marked) : guard{lock}, record{marked} {}
+    busy_mark(const busy_mark&) = delete;
+    busy_mark& operator=(const busy_mark&) = delete;
+    ~busy_mark() {
+        const std::lock_guard lock{this->guard};
+        this->record.busy = false;
+    }
+
+private:
+    std::mutex& guard;
+    lease_record& record;
+};
+
+} // namespace internal
+
+struct lease_keeper::implementation {
+    const clock& time;
+    store_client& store;
+    incarnation_id own;
+    lease_rule rule;
+    std::function<std::uint64_t()> draw;
+    mutable std::mutex guard{};
+    /*! @brief Records stay in place; only the thread that set `busy` uses the fields other than `busy` and `grant`. */
+    std::map<std::string, internal::lease_record, std::less<>> records{};
+
+    [[nodiscard]] internal::lease_record* enter(const std::string_view name) {
+        const std::lock_guard lock{this->guard};
+        auto& record = this->records[std::string{name}];
+        return std::exchange(record.busy, true) ? nullptr : &record;
+    }
+
+    void set_grant(internal::lease_record& record, const std::optional<lease_grant>& grant) {
+        const std::lock_guard lock{this->guard};
+        record.grant = grant;
+    }
+
+    [[nodiscard]] static boost::leaf::error_id fail(const enum lease_error::code code, const std::string_view name,
+                                                    const incarnation_id holder = {}) {
+        return boost::leaf::new_error(lease_error{code, std::string{name}, holder});
+    }
+
+    /*! @brief Reads the object, notes since when its version is seen, and recognises own writes in it. */
+    [[nodiscard]] result<void> read(const std::string_view name, internal::lease_record& record) {
+        record.known = false;
+        BOOST_LEAF_AUTO(object,
+                        boost::leaf::try_handle_some([&] { return this->store.get("leases/" + std::string{name}); },
+                                                     [](const store_error& error) -> result<stored_object> {
+                                                         if (error.code == store_error::code::missing) {
+                                                             return stored_object{};
+                                                         }
+                                                         return boost::leaf::new_error(error);
+                                                     }));
+        auto value = internal::to_value(object.value);
+        if (object.version != 0U && !value) {
+            return fail(lease_error::code::malformed, name);
+        }
+        if (object.version != record.version) {
+            record.version = object.version;
+            record.seen = this->time.now();
+        }
+        record.value = std::move(value);
+        record.known = true;
+        this->recognise(record);
+        return {};
+    }
+
+    void recognise(internal::lease_record& record) {
+        const auto position =
+            std::find_if(record.pending.begin(), record.pending.end(), [&](const internal::pending_write& write) {
+                return record.value && write.value.write == record.value->write;
+            });
+        if (position != record.pending.end()) {
+            this->adopt(record, position->value, position->sent);
+        }
+    }
+
+    /*! @brief Takes over the effect of an own write that was sent at a time. */
+    void adopt(internal::lease_record& record, const internal::lease_value& value, const time_point sent) {
+        record.value = value;
+        record.known = true;
+        this->set_grant(record, lease_grant{value.fence, sent + value.duration, value.lapsed.size()});
+        record.pending.clear();
+    }
+
+    /*! @brief Value of the next own write, or nothing while another incarnation may hold the lease. */
+    [[nodiscard]] std::optional<internal::lease_value> next_value(internal::lease_record& record) {
+        const auto now = this->time.now();
+        internal::lease_value next{this->own, this->draw(), 1U, this->rule.duration, {}};
+        if (!record.value) {
+            return next;
+        }
+        const auto& present = *record.value;
+        next.fence = present.fence + 1U;
+        next.lapsed = present.lapsed;
+        if (present.holder == this->own) {
+            // A tenure that lapsed ends for good; the next one gets a new fence number.
+            const bool unbroken = record.grant && record.grant->fence == present.fence && now < record.grant->until;
+            next.fence = unbroken ? present.fence : next.fence;
+        } else if (present.holder != incarnation_id{}) {
+            if (now - record.seen < present.duration + this->rule.margin) {
+                return std::nullopt;
+            }
+            next.lapsed.push_back({present.holder, present.fence});
+        }
+        this->drop_settled(record, next.lapsed, now);
+        return next;
+    }
+
+    /*! @brief Drops former holders that cannot act any more: this instance itself, and those gone for long. */
+    void drop_settled(internal::lease_record& record, std::vector<internal::lapsed_tenure>& lapsed,
+                      const time_point now) const {
+        std::map<std::uint64_t, time_point> since{};
+        std::erase_if(lapsed, [&](const internal::lapsed_tenure& tenure) {
+            const auto known = record.lapsed_since.find(tenure.fence);
+            const auto start = known == record.lapsed_since.end() ? now : known->second;
+            since.emplace(tenure.fence, start);
+            return tenure.holder == this->own || now - start >= this->rule.longest_freeze;
+        });
+        record.lapsed_since = std::move(since);
+    }
+
+    [[nodiscard]] result<void> write(const std::string_view name, internal::lease_record& record,
+                                     const internal::lease_value& value) {
+        const auto sent = this->time.now();
+        const auto text = internal::to_text(value);
+        return boost::leaf::try_handle_some(
+            [&]() -> result<void> {
+                BOOST_LEAF_AUTO(version, this->store.put("leases/" + std::string{name}, text, record.version));
+                record.version = version;
+                record.seen = this->time.now();
+                this->adopt(record, value, sent);
+                return {};
+            },
+            [&](const store_error& error) -> result<void> {
+                if (error.code == store_error::code::effect_unknown) {
+                    record.pending.push_back({value, sent});
+                    if (record.pending.size() > internal::most_pending_writes) {
+                        record.pending.pop_front();
+                    }
+                } else if (error.code != store_error::code::conflict) {
+                    return boost::leaf::new_error(error);
+                }
+                if (auto outcome = this->read(name, record); !outcome) {
+                    return outcome.error();
+                }
+                if (record.value && record.value->holder == this->own && record.grant &&
+                    record.grant->fence == record.value->fence) {
+                    return {};
+                }
+                if (error.code == store_error::code::effect_unknown) {
+                    return boost::leaf::new_error(error);
+                }
+                return fail(lease_error::code::lost_race, name, record.value ? record.value->holder : incarnation_id{});
+            });
+    }
+};
+
+lease_keeper::lease_keeper(const clock& time, store_client& store, const incarnation_id own, const lease_rule rule,
+                           std::function<std::uint64_t()> draw)
+    : self{std::make_unique<implementation>(time, store, own, rule, std::move(draw))} {}
+
+lease_keeper::~lease_keeper() = default;
+
+const lease_rule& lease_keeper::rule() const noexcept {
+    return this->self->rule;
+}
+
+result<lease_grant> lease_keeper::acquire(const std::string_view name) {
+    auto* record = this->self->enter(name);
+    if (record == nullptr) {
+        return implementation::fail(lease_error::code::busy, name);
+    }
+    const internal::busy_mark mark{this->self->guard, *record};
+    const bool own = record->known && record->value && record->value->holder == this->self->own;
+    if (!own) {
+        if (auto outcome = this->self->read(name, *record); !outcome) {
+            return outcome.error();
+        }
+    }
+    const auto next = this->self->next_value(*record);
+    if (!next) {
+        return implementation::fail(lease_error::code::held_elsewhere, name, record->value->holder);
+    }
+    if (auto outcome = this->self->write(name, *record, *next); !outcome) {
+        return outcome.error();
+    }
+    if (const auto grant = this->held(name)) {
+        return *grant;
+    }
+    // The answer came so late that the lease has already lapsed.
+    return implementation::fail(lease_error::code::lost_race, name, this->self->own);
+}
+
+std::optional<lease_grant> lease_keeper::held(const std::string_view name) const {
+    const auto now = this->self->time.now();
+    const std::lock_guard lock{this->self->guard};
+    const auto position = this->self->records.find(name);
+    if (position == this->self->records.end() || !position->second.grant || now >= position->second.grant->until) {
+        return std::nullopt;
+    }
+    return position->second.grant;
+}
+
+result<void> lease_keeper::release(const std::string_view name) {
+    auto* record = this->self->enter(name);
+    if (record == nullptr) {
+        return implementation::fail(lease_error::code::busy, name);
+    }
+    const internal::busy_mark mark{this->self->guard, *record};
+    this->self->set_grant(*record, std::nullopt);
+    record->pending.clear();
+    if (!record->known || !record->value || record->value->holder != this->self->own) {
+        return {};
+    }
+    auto value = *record->value;
+    value.holder = {};
+    value.write = this->self->draw();
+    // Whatever comes of the write, the next attempt reads first.
+    record->known = false;
+    BOOST_LEAF_AUTO(version,
+                    this->self->store.put("leases/" + std::string{name}, internal::to_text(value), record->version));
+    static_cast<void>(version);
+    return {};
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/measure/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace mangopulley {
+
+class probe_budget;
+class prober;
+
+} // namespace mangopulley
--- /dev/null
+++ b/test/mangopulley/lease/lease_keeper.cpp
@@ -0,0 +1,225 @@
+#include <memory>
+#include <random>
+#include <vector>
+
+#include <fake/fake_clock.hpp>
+#include <fake/fake_store.hpp>
+#include <mangopulley/lease/lease_keeper.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::incarnation_id;
+using mangopulley::lease_grant;
+using mangopulley::lease_keeper;
+using namespace std::chrono_literals;
+
+namespace {
+
+using fault = fake::fake_store::write_fault;
+
+/*! @brief Store that lets time pass during a call and can run something in the middle of a write. */
+class slow_store final : public mangopulley::store_client {
+public:
+    explicit slow_store(fake::fake_clock& source) : time{source} {}
+
+    [[nodiscard]] mangopulley::result<mangopulley::stored_object> get(std::string_view key) override {
+        this->time.advance(this->delay);
+        return this->inner.get(key);
+    }
+    [[nodiscard]] mangopulley::result<std::uint64_t> put(std::string_view key, std::string_view value,
+                                                         std::uint64_t expected) override {
+        this->time.advance(this->delay);
+        auto outcome = this->inner.put(key, value, expected);
+        this->time.advance(std::exchange(this->freeze_after_write, mangopulley::duration::zero()));
+        return outcome;
+    }
+    [[nodiscard]] mangopulley::result<std::optional<mangopulley::stored_object>>
+    watch(std::string_view key, std::uint64_t after, mangopulley::milliseconds wait) override {
+        return this->inner.watch(key, after, wait);
+    }
+    [[nodiscard]] mangopulley::result<std::vector<mangopulley::listed_object>> list(std::string_view prefix) override {
+        return this->inner.list(prefix);
+    }
+    [[nodiscard]] mangopulley::result<std::optional<mangopulley::instance_list>>
+    watch_instances(std::uint64_t after, mangopulley::milliseconds wait) override {
+        return this->inner.watch_instances(after, wait);
+    }
+
+    fake::fake_store inner{};
+    mangopulley::duration delay{};
+    mangopulley::duration freeze_after_write{};
+
+private:
+    fake::fake_clock& time;
+};
+
+[[nodiscard]] std::optional<lease_grant> attempt(lease_keeper& keeper) {
+    return boost::leaf::try_handle_all(
+        [&]() -> mangopulley::result<std::optional<lease_grant>> {
+            BOOST_LEAF_AUTO(grant, keeper.acquire("probe/lots"));
+            return std::optional{grant};
+        },
+        [] { return std::optional<lease_grant>{}; });
+}
+
+void give_up(lease_keeper& keeper) {
+    boost::leaf::try_handle_all([&] { return keeper.release("probe/lots"); }, [] {});
+}
+
+} // namespace
+
+TEST_GROUP(lease_keeper) {
+    fake::fake_clock time{};
+    slow_store store{time};
+    std::mt19937_64 random{5U};
+    std::vector<std::unique_ptr<lease_keeper>> keepers{};
+
+    lease_keeper& add() {
+        this->keepers.push_back(
+            std::make_unique<lease_keeper>(this->time, this->store, incarnation_id{this->keepers.size() + 1U},
+                                           mangopulley::lease_rule{}, [this] { return this->random(); }));
+        return *this->keepers.back();
+    }
+};
+
+// Guards against a second holder before the first one's lease has ended, and against a holder that never changes.
+TEST(lease_keeper, observer_takes_over_only_after_duration_and_margin) {
+    auto& first = this->add();
+    auto& second = this->add();
+    CHECK_EQUAL(1U, attempt(first)->fence);
+    CHECK_FALSE(attempt(second).has_value());
+    this->time.advance(6400ms);
+    CHECK_FALSE(attempt(second).has_value());
+    CHECK_FALSE(first.held("probe/lots").has_value());
+    this->time.advance(100ms);
+    const auto grant = attempt(second);
+    CHECK_EQUAL(2U, grant->fence);
+    CHECK_EQUAL(1U, grant->lapsed);
+    CHECK_FALSE(attempt(first).has_value());
+}
+
+// Guards against observers that take a renewed lease for an abandoned one.
+TEST(lease_keeper, renewal_keeps_the_lease_and_the_fence) {
+    auto& first = this->add();
+    auto& second = this->add();
+    for (int round = 0; round < 20; ++round) {
+        CHECK_EQUAL(1U, attempt(first)->fence);
+        CHECK_FALSE(attempt(second).has_value());
+        this->time.advance(2s);
+    }
+}
+
+// Guards against waiting for the end of a lease that was given up, and against fence numbers used twice.
+TEST(lease_keeper, released_lease_is_taken_at_once_with_the_next_fence) {
+    auto& first = this->add();
+    auto& second = this->add();
+    CHECK_TRUE(attempt(first).has_value());
+    give_up(first);
+    CHECK_FALSE(first.held("probe/lots").has_value());
+    const auto grant = attempt(second);
+    CHECK_EQUAL(2U, grant->fence);
+    CHECK_EQUAL(0U, grant->lapsed);
+}
+
+// Guards against counting the lease from the answer: the holder would act after an observer took over.
+TEST(lease_keeper, holder_counts_from_before_its_request) {
+    auto& first = this->add();
+    this->store.freeze_after_write = 5s;
+    const auto sent = this->time.now();
+    CHECK_TRUE(attempt(first)->until == sent + 6s);
+    this->store.freeze_after_write = 7s;
+    CHECK_FALSE(attempt(first).has_value());
+    CHECK_FALSE(first.held("probe/lots").has_value());
+}
+
+// Guards against a lost reply that makes the holder lose its lease, or hold one that it did not get.
+TEST(lease_keeper, lost_replies) {
+    const struct {
+        fault what;
+        bool renewal;
+        bool held_after;
+        std::uint64_t next_fence;
+    } rows[] = {
+        {fault::reply_lost_after_effect, false, true, 1U},
+        {fault::reply_lost_before_effect, false, false, 1U},
+        {fault::reply_lost_after_effect, true, true, 1U},
+        {fault::reply_lost_before_effect, true, true, 1U},
+    };
+    for (const auto& row : rows) {
+        this->store.inner.objects.clear();
+        this->keepers.clear();
+        auto& first = this->add();
+        auto& second = this->add();
+        if (row.renewal) {
+            CHECK_TRUE(attempt(first).has_value());
+            this->time.advance(2s);
+        }
+        this->store.inner.fault = row.what;
+        static_cast<void>(attempt(first));
+        this->store.inner.fault = fault::none;
+        CHECK_EQUAL(row.held_after, first.held("probe/lots").has_value());
+        if (row.held_after) {
+            CHECK_FALSE(attempt(second).has_value());
+        }
+        CHECK_EQUAL(row.next_fence, attempt(first)->fence);
+    }
+}
+
+// Guards against a store outage that lets a holder go on after its lease has ended.
+TEST(lease_keeper, store_outage_ends_the_lease_in_time) {
+    auto& first = this->add();
+    CHECK_TRUE(attempt(first).has_value());
+    this->store.inner.down = true;
+    this->time.advance(5900ms);
+    CHECK_FALSE(attempt(first).has_value());
+    CHECK_TRUE(first.held("probe/lots").has_value());
+    this->time.advance(100ms);
+    CHECK_FALSE(first.held("probe/lots").has_value());
+    this->store.inner.down = false;
+    CHECK_EQUAL(2U, attempt(first)->fence);
+}
+
+// Guards against taking over a lease whose value is damaged: its fence number is not known.
+TEST(lease_keeper, malformed_value_is_left_alone) {
+    for (const char* text : {"", "[]", "{}", R"({"holder":"x","write":"y","fence":1,"duration_ms":1,"lapsed":[]})"}) {
+        this->store.inner.objects["leases/probe/lots"] = {text, 77U};
+        CHECK_FALSE(attempt(this->add()).has_value());
+        this->time.advance(60s);
+        CHECK_FALSE(attempt(*this->keepers.back()).has_value());
+        CHECK_TRUE(this->store.inner.objects["leases/probe/lots"].value == text);
+    }
+}
+
+// Guards against two holders at once, or a fence number that falls, under any order of attempts, freezes and faults.
+TEST(lease_keeper, never_two_holders) {
+    for (std::uint64_t seed = 0U; seed < 2000U; ++seed) {
+        this->random.seed(seed);
+        this->store.inner.objects.clear();
+        this->keepers.clear();
+        for (int count = 0; count < 3; ++count) {
+            this->add();
+        }
+        std::uint64_t highest{};
+        for (int step = 0; step < 60; ++step) {
+            this->store.delay = mangopulley::milliseconds{this->random() % 20U};
+            this->store.inner.down = this->random() % 10U == 0U;
+            this->store.inner.fault = this->random() % 6U == 0U   ? fault::reply_lost_after_effect
+                                      : this->random() % 6U == 0U ? fault::reply_lost_before_effect
+                                                                  : fault::none;
+            this->store.freeze_after_write = this->random() % 8U == 0U ? 4s : 0s;
+            auto& keeper = *this->keepers[this->random() % this->keepers.size()];
+            if (this->random() % 8U == 0U) {
+                give_up(keeper);
+            } else if (const auto grant = attempt(keeper)) {
+                CHECK_TRUE(grant->fence >= highest);
+                highest = grant->fence;
+            }
+            std::size_t holders{};
+            for (const auto& each : this->keepers) {
+                holders += each->held("probe/lots").has_value() ? 1U : 0U;
+            }
+            CHECK_TRUE(holders <= 1U);
+            this->time.advance(mangopulley::milliseconds{this->random() % 3000U});
+        }
+    }
+}
--- a/test/mangopulley/membership/fleet.cpp
+++ b/test/mangopulley/membership/fleet.cpp
@@ -72,6 +72,17 @@
     }
 }
 
+/*! @brief Cuts the last `count` instances from the others and from the store, or heals all of it. */
+void set_split(fake_fleet& fleet, const std::size_t count, const bool up) {
+    const auto border = fleet.nodes.size() - count;
+    for (std::size_t index = border; index < fleet.nodes.size(); ++index) {
+        fleet.nodes[index]->store.cut = !up;
+        for (std::size_t other = 0U; other < (up ? index : border); ++other) {
+            fleet.link(index, other, up);
+        }
+    }
+}
+
 } // namespace
 
 TEST_GROUP(fleet){};
@@ -116,7 +127,7 @@
         fleet.run(5s, std::ref(checks));
         for (std::size_t event = 0U; event < 25U; ++event) {
             const auto index = fleet.random() % fleet_size;
-            switch (fleet.random() % 9U) {
+            switch (fleet.random() % 11U) {
             case 0U:
                 set_links(fleet, index, false);
                 break;
@@ -141,6 +152,12 @@
             case 7U:
                 fleet.store.down = fleet.random() % 2U == 0U;
                 break;
+            case 8U:
+                set_split(fleet, 2U + fleet.random() % 5U, false);
+                break;
+            case 9U:
+                set_split(fleet, fleet_size, true);
+                break;
             default:
                 checks.edit();
                 break;
