Probe idle targets under the lease of their service

Cause: a target without traffic is unknown until a request meets it; the lead of a service now measures such targets inside the budget.

Ruled out: probing from each instance, whose budgets would have to be added up while instances come and go.

--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -20,9 +20,11 @@
 #include "../core/kernel.hpp"
 #include "../core/periodic_task.hpp"
 #include "../http/http_server.hpp"
+#include "../lease/lease_keeper.hpp"
 #include "../limit/admission.hpp"
 #include "../limit/alert_gate.hpp"
 #include "../limit/share_table.hpp"
+#include "../measure/prober.hpp"
 #include "../membership/address_book.hpp"
 #include "../membership/drain_notices.hpp"
 #include "../membership/heartbeat_service.hpp"
@@ -54,6 +56,8 @@
 constexpr milliseconds archive_period{500};
 // Shares of limits need contact within this time; shorter than the 3 s after which others take a share over.
 constexpr milliseconds share_contact_age{2'000};
+// A target that this instance sent nothing to for this time is measured by a probe, if the budget allows one.
+constexpr milliseconds idle_before_probe{5'000};
 constexpr std::size_t peer_threads = 4U;
 constexpr std::size_t most_waiting_peer_calls = 64U;
 constexpr std::size_t operator_workers = 2U;
@@ -117,6 +121,14 @@
         {this->time, this->catalogue, this->members, this->draining, this->targets, this->cancellations},
         [this](const std::string_view target) { this->heartbeats.announce_drain(target); }};
 
+    lease_keeper leases{this->time, this->store, this->incarnation, lease_rule{},
+                        [] { return incarnation_id::generate().value(); }};
+    prober probes{{this->time, this->targets, this->leases, this->catalogue},
+                  {.wanted = [this](const std::string_view service) { return this->leads(service); },
+                   .idle_targets = [this](const std::string_view service) { return this->idle_targets(service); },
+                   .report = [this](const std::string_view service, const std::string_view endpoint,
+                                    const load_report& load) { this->take_probe(service, endpoint, load); }}};
+
     member_directory directory{this->members, this->addresses};
     standing_store_status store_state{this->proof};
     order_dispatch order_targets{this->catalogue, this->services};
@@ -139,9 +151,9 @@
     periodic_task sharer{"share_update", internal::share_period, [this] { this->update_shares(); }};
     periodic_task archiver{"order_archive", internal::archive_period, [this] { this->archive.step(); }};
     /*! @brief Plug-ins in the order of their start; they are members above, so none is owned here. */
-    std::vector<plugin*> order_of_start{&this->alerts,        &this->cancellations, &this->peer_port, &this->follower,
-                                        &this->heartbeats,    &this->refresher,     &this->sharer,    &this->archiver,
-                                        &this->operator_port, &this->caller_port};
+    std::vector<plugin*> order_of_start{&this->alerts,     &this->cancellations, &this->peer_port,  &this->follower,
+                                        &this->heartbeats, &this->refresher,     &this->sharer,     &this->archiver,
+                                        &this->probes,     &this->operator_port, &this->caller_port};
     std::size_t started{};
     std::uint64_t gaps{};
     std::mutex leaving_guard{};
@@ -207,6 +219,33 @@
         return all;
     }
 
+    /*! @brief Tells whether callers of a service are sent to this instance first. */
+    [[nodiscard]] bool leads(const std::string_view service) const {
+        return this->addresses.lead_of(service) == this->incarnation;
+    }
+
+    [[nodiscard]] std::vector<std::string> idle_targets(const std::string_view service) const {
+        std::vector<std::string> endpoints{};
+        if (const auto runtime = this->services.find(service)) {
+            for (const auto& target : runtime->requests().idle_targets(internal::idle_before_probe)) {
+                endpoints.push_back(target.endpoint);
+            }
+        }
+        return endpoints;
+    }
+
+    void take_probe(const std::string_view service, const std::string_view endpoint, const load_report& load) {
+        const auto runtime = this->services.find(service);
+        if (!runtime) {
+            return;
+        }
+        for (const auto& target : *this->members.targets_of(service)) {
+            if (target.address == endpoint) {
+                runtime->requests().report(target.id, load);
+            }
+        }
+    }
+
     void update_shares() {
         const auto gaps_now = this->proof.gaps();
         if (gaps_now != this->gaps) {
@@ -274,6 +313,9 @@
         this->numbers.gauge("peer_bytes_sent", [this] {
             return static_cast<double>(this->peers.counts().sent + this->peer_port.bytes_sent());
         });
+        this->numbers.gauge("probes_sent", [this] { return static_cast<double>(this->probes.sent()); });
+        this->numbers.gauge("undecodable_catalogues",
+                            [this] { return static_cast<double>(this->follower.undecodable()); });
         this->numbers.gauge("store_calls", [this] {
             const auto counts = this->store.counts();
             return static_cast<double>(counts.reads + counts.writes + counts.watches);
