Bound the order tables by measured memory and age keys in the model

Cause: a ledger record with an answer of 200 bytes takes 879 bytes and a witness entry 226 (trial program, 65,536 entries each, difference of resident memory). The former defaults of 200,000 records and 64 MiB of answers could take more than the 128 MB that an instance has for control. The defaults are now 65,536 records and entries, 24 MiB of answers, 16 MiB of outcomes waiting for the store and 8 MiB taken over. 65,536 records last for 109 orders a second per home.

The model test's keys were all of one age, so a ledger that ignores its floor passed it; keys of different ages now find this at seed 505 (trial on a scratch copy).

Ruled out: evicting answers that are archived. A repeat would then depend on the store.

--- a/src/mangopulley/order/ledger.cpp
+++ b/src/mangopulley/order/ledger.cpp
@@ -15,6 +15,11 @@
     std::string fingerprint{};
     ledger::stage reached{ledger::stage::accepted};
     std::shared_ptr<const order_outcome> outcome{};
+
+    /*! @brief Returns the fingerprint, which a finished record holds in its outcome only. */
+    [[nodiscard]] const std::string& content() const noexcept {
+        return this->outcome && !this->outcome->content.empty() ? this->outcome->content : this->fingerprint;
+    }
 };
 
 // Ordered by issue time, so that the records to drop come first.
@@ -129,7 +134,8 @@
     if (!record) {
         return this->self->decide_new(key, fingerprint, refusal);
     }
-    if (!fingerprint.empty() && !record->fingerprint.empty() && record->fingerprint != fingerprint) {
+    const auto& content = record->content();
+    if (!fingerprint.empty() && !content.empty() && content != fingerprint) {
         return content_mismatch();
     }
     while (!record->outcome) {
@@ -160,6 +166,9 @@
         record->reached = stage::finished;
         this->self->answer_bytes += internal::kept_bytes(*outcome);
         record->outcome = std::move(outcome);
+        if (!record->outcome->content.empty()) {
+            record->fingerprint = std::string{};
+        }
         --this->self->unfinished;
     }
     this->self->finished.notify_all();
--- a/src/mangopulley/order/ledger.hpp
+++ b/src/mangopulley/order/ledger.hpp
@@ -13,10 +13,10 @@
 
 /*! @brief Bounds of a `ledger`. */
 struct ledger_limits {
-    /*! @brief Records held at once. */
-    std::size_t records{200'000U};
+    /*! @brief Records held at once; with the run window, the orders that one home accepts per second: 109. */
+    std::size_t records{65'536U};
     /*! @brief Bytes of kept answers beyond which no new key is accepted. */
-    std::size_t answer_bytes{std::size_t{64U} << 20U};
+    std::size_t answer_bytes{std::size_t{24U} << 20U};
     /*! @brief Time after `issued` in which a key may be accepted (design section 4.4). */
     std::chrono::seconds run_window{600};
     /*! @brief Time that `issued` may lie ahead; clocks of instances differ by less. */
--- a/src/mangopulley/order/order_archive.hpp
+++ b/src/mangopulley/order/order_archive.hpp
@@ -21,7 +21,7 @@
     /*! @brief Largest segment in bytes; the store holds values up to 1 MB. */
     std::size_t segment_bytes{900'000U};
     /*! @brief Bytes kept while the store is out; beyond them the oldest outcomes are dropped. */
-    std::size_t pending_bytes{std::size_t{32U} << 20U};
+    std::size_t pending_bytes{std::size_t{16U} << 20U};
     /*! @brief Most segments read for one lookup; those of one issue time are few, as each covers about one period. */
     std::size_t reads_per_lookup{32U};
 };
--- a/src/mangopulley/order/witness_table.hpp
+++ b/src/mangopulley/order/witness_table.hpp
@@ -12,10 +12,10 @@
 
 /*! @brief Bounds of a `witness_table`. */
 struct witness_limits {
-    /*! @brief Notes and seals held at once. */
-    std::size_t entries{131'072U};
+    /*! @brief Notes and seals held at once; as many as a home's ledger holds records. */
+    std::size_t entries{65'536U};
     /*! @brief Bytes of outcomes taken over from homes that shut down. */
-    std::size_t outcome_bytes{std::size_t{16U} << 20U};
+    std::size_t outcome_bytes{std::size_t{8U} << 20U};
     /*! @brief Time after `issued` at which an entry is dropped: the run window of 600 s, twice, and clock differences.
      */
     std::chrono::seconds expiry{1800};
--- a/test/mangopulley/order/order_model.cpp
+++ b/test/mangopulley/order/order_model.cpp
@@ -330,8 +330,11 @@
         }
         auto& key = this->keys[order];
         if (key.empty()) {
-            auto& home = this->members[this->schedule.draw(places)]->process;
-            key = home.service.make_token(home.id) + "~k" + std::to_string(order);
+            // Some tokens are old, so that windows pass and records are dropped while other keys are still valid.
+            const auto& home = this->members[this->schedule.draw(places)]->process;
+            auto token = parse_order_token(home.service.make_token(home.id)).value();
+            token.issued -= this->schedule.draw(3U) * 250U;
+            key = token.to_string() + "~k" + std::to_string(order);
         }
         return key;
     }
@@ -394,7 +397,8 @@
     void short_pause(std::size_t /*place*/) { this->time.time.advance(std::chrono::seconds{this->schedule.draw(3U)}); }
     void long_pause(std::size_t /*place*/) {
         if (this->schedule.chance(2U)) {
-            this->time.time.advance(std::chrono::seconds{this->schedule.draw(2400U)});
+            this->time.time.advance(
+                std::chrono::seconds{this->schedule.draw(this->schedule.chance(2U) ? 2400U : 200U)});
         }
     }
     void shut_down(const std::size_t place) {
