Try recovered targets sooner and save hedges for stalls

With real threads the hedge budget was always used up, because one request in 20 passes the 95th percentile by nature.

Conclusion: half of the hedge budget is kept for suspect targets. An owner whose answer times are near the round-trip time should set one more slot per target.

--- a/src/mangopulley/routing/call_runner.cpp
+++ b/src/mangopulley/routing/call_runner.cpp
@@ -241,7 +241,10 @@
             }
             auto until = this->call.deadline;
             if (hedge_allowed) {
-                next_hedge = std::max(next_hedge, this->parts.queue.hedge_time(this->open.front().right));
+                // One request in 20 passes the 95th percentile by nature; what is saved of the budget is for stalls.
+                const bool suspects_only = !this->parts.hedges.plentiful();
+                next_hedge =
+                    std::max(next_hedge, this->parts.queue.hedge_time(this->open.front().right, suspects_only));
                 if (next_hedge <= now) {
                     if (this->try_hedge(claim)) {
                         hedge_allowed = false;
--- a/src/mangopulley/routing/dispatcher.cpp
+++ b/src/mangopulley/routing/dispatcher.cpp
@@ -13,10 +13,11 @@
 
 // Estimates that decay can free a target while no request ends; one waiting thread looks this often.
 constexpr auto look_period = std::chrono::milliseconds{2};
-// A non-idempotent request can't be rescued from a slow target, so it first waits this many medians for a good one.
-constexpr int long_wait_medians = 3;
+// A non-idempotent request can't be rescued from a slow target, so it first waits a quarter of the median for a good
+// one. Longer waits keep targets that have recovered out of use, which costs the median; shorter ones cost the 99.9th
+// percentile.
 constexpr auto shortest_wait = std::chrono::microseconds{200};
-constexpr auto long_wait_unknown = std::chrono::milliseconds{20};
+constexpr auto long_wait_unknown = std::chrono::milliseconds{2};
 
 struct waiter : wait_ticket {
     std::condition_variable wake{};
@@ -77,8 +78,7 @@
 
     [[nodiscard]] bool try_grant(internal::waiter& item, const time_point now) {
         const auto waited = now - item.since;
-        const auto patience = item.expected.count() > 0 ? internal::long_wait_medians * item.expected
-                                                        : duration{internal::long_wait_unknown};
+        const auto patience = item.expected.count() > 0 ? item.expected / 4 : duration{internal::long_wait_unknown};
         const wait_request request{item.kind,       item.owner,     item.work,    item.worth,
                                    item.idempotent, item.hedgeable, item.deadline};
         auto found = this->choose(request, {item.idempotent, item.hedgeable, waited >= patience, false}, {}, now);
@@ -270,9 +270,9 @@
     return this->self->choose_other(request, excluded, this->self->time.now());
 }
 
-time_point dispatcher::hedge_time(const slot& open) const {
+time_point dispatcher::hedge_time(const slot& open, const bool suspects_only) const {
     const std::lock_guard lock{this->self->guard};
-    return this->self->table.hedge_time(*open.held, this->self->time.now());
+    return this->self->table.hedge_time(*open.held, suspects_only, this->self->time.now());
 }
 
 duration dispatcher::expected_time(const std::string_view kind) const {
--- a/src/mangopulley/routing/dispatcher.hpp
+++ b/src/mangopulley/routing/dispatcher.hpp
@@ -181,7 +181,7 @@
                                                         std::span<const std::string> excluded);
 
     /*! @brief Returns when a second attempt is worth its cost; see `target_table::hedge_time`. */
-    [[nodiscard]] time_point hedge_time(const slot& open) const;
+    [[nodiscard]] time_point hedge_time(const slot& open, bool suspects_only) const;
     /*! @brief Returns the median answer time of a kind; zero when it is not known. */
     [[nodiscard]] duration expected_time(std::string_view kind) const;
 
--- a/src/mangopulley/routing/hedge_budget.hpp
+++ b/src/mangopulley/routing/hedge_budget.hpp
@@ -21,6 +21,8 @@
     void first_try() noexcept { this->bucket.first_try(); }
     /*! @brief Tells whether `try_spend` would succeed now. */
     [[nodiscard]] bool available() const noexcept { return this->bucket.available(); }
+    /*! @brief Tells whether enough is saved to hedge requests on targets that are not suspect. */
+    [[nodiscard]] bool plentiful() const noexcept { return this->bucket.half_full(); }
     /*! @brief Takes a token; false when there is none. */
     [[nodiscard]] bool try_spend() noexcept { return this->bucket.try_spend(); }
 
--- a/src/mangopulley/routing/share_bucket.hpp
+++ b/src/mangopulley/routing/share_bucket.hpp
@@ -28,6 +28,10 @@
 
     [[nodiscard]] bool available() const noexcept { return this->level.load(std::memory_order_relaxed) >= token; }
 
+    [[nodiscard]] bool half_full() const noexcept {
+        return 2 * this->level.load(std::memory_order_relaxed) >= this->most;
+    }
+
     [[nodiscard]] bool try_spend() noexcept {
         auto present = this->level.load(std::memory_order_relaxed);
         while (present >= token) {
--- a/src/mangopulley/routing/target_table.cpp
+++ b/src/mangopulley/routing/target_table.cpp
@@ -350,8 +350,9 @@
         if (seen.avoided) {
             const auto& item = *this->self->targets[seen.index];
             const bool waited = now >= item.trial_after;
-            seen.trial_open = item.trials == 0U && (!item.unreachable || waited);
-            seen.trial_due = seen.trial_open && waited && !item.overdue(now);
+            // An overdue attempt already shows that the target is still slow.
+            seen.trial_open = item.trials == 0U && !item.overdue(now) && (!item.unreachable || waited);
+            seen.trial_due = seen.trial_open && waited;
         }
     }
 }
@@ -419,18 +420,21 @@
     return open.target->record.endpoint;
 }
 
-time_point target_table::hedge_time(const attempt& open, const time_point now) const noexcept {
+time_point target_table::hedge_time(const attempt& open, const bool suspects_only,
+                                    const time_point now) const noexcept {
     if (!open.times->known()) {
         return time_point::max();
     }
     const auto& target = *open.target;
-    auto trigger = open.started + open.times->percentile_95();
+    auto trigger = suspects_only ? time_point::max() : open.started + open.times->percentile_95();
     if (target.suspect(now)) {
         trigger = open.started;
     } else if (!target.becomes_suspect.empty()) {
         trigger = std::min(trigger, target.becomes_suspect.begin()->first);
     }
-    return std::max(open.started + open.times->median(), trigger);
+    // Half of the answers of a healthy target take longer than the median, so a margin saves hedges during a trial.
+    const auto usual = open.times->median() + open.times->median() / 2;
+    return std::max(open.started + std::min(usual, open.times->percentile_95()), trigger);
 }
 
 const answer_times& target_table::times(const std::string_view kind) {
--- a/src/mangopulley/routing/target_table.hpp
+++ b/src/mangopulley/routing/target_table.hpp
@@ -193,13 +193,14 @@
      * @brief Returns when a second attempt at the same request is worth its cost.
      *
      * This is the 95th percentile of the kind's answer time, or sooner when the target turns suspect, but not before
-     * the median.
+     * one and a half times the median.
      *
      * @param open Attempt.
+     * @param suspects_only Whether slow answers of targets that are not suspect are waited for.
      * @param now Present time.
      * @return The time; the maximum when the kind's answer times are not known.
      */
-    [[nodiscard]] time_point hedge_time(const attempt& open, time_point now) const noexcept;
+    [[nodiscard]] time_point hedge_time(const attempt& open, bool suspects_only, time_point now) const noexcept;
 
     /*! @brief Returns the answer times of a kind. */
     [[nodiscard]] const answer_times& times(std::string_view kind);
--- a/test/mangopulley/routing/call_runner.cpp
+++ b/test/mangopulley/routing/call_runner.cpp
@@ -230,3 +230,24 @@
         }
     }
 }
+
+// Guards against a budget that is spent on answers somewhat late by nature and missing when a target stalls.
+TEST(call_runner, keeps_half_of_the_hedge_budget_for_suspect_targets) {
+    this->budgets(1.0, 0.05);
+    this->next({{25ms}});
+    for (int number = 0; number < 60; ++number) {
+        this->script.push_front({25ms});
+        CHECK_EQUAL(200, this->call(true).status);
+        this->script.clear();
+        for (int other = 0; other < 14; ++other) {
+            CHECK_EQUAL(200, this->call(true).status);
+        }
+    }
+    CHECK_TRUE(this->runner->counts().hedges <= 60U * 15U / 20U - 25U);
+    this->script.push_front({100ms});
+    const auto start = this->time.now();
+    const auto before = this->runner->counts().hedge_wins;
+    CHECK_EQUAL(200, this->call(true).status);
+    CHECK_EQUAL(before + 1U, this->runner->counts().hedge_wins);
+    CHECK_TRUE(this->time.now() - start <= 45ms);
+}
