Refuse orders that require the store only after an alert

Ruled out: refusing inside the order module, which knows no alerts.

Conclusion: such orders wait until the store is back, their deadline, or the alert's lead is over.

--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -20,6 +21,8 @@
 namespace internal {
 
 constexpr std::size_t listed_addresses = 3U;
+constexpr milliseconds store_check_period{20};
+constexpr milliseconds store_retry{5000};
 constexpr milliseconds short_wait{1'000};
 constexpr std::string_view services_prefix = "/v1/services/";
 constexpr std::string_view kinds_part = "/kinds/";
@@ -131,6 +134,8 @@
     const member_table& members;
     const standing& proof;
     admission& limits;
+    alert_gate& alerts;
+    const store_status& store;
     service_table& services;
     order_service& orders;
     metrics& numbers;
@@ -139,7 +144,8 @@
     explicit implementation(const parts& environment)
         : time{environment.time}, catalogue{environment.catalogue}, addresses{environment.addresses},
           members{environment.members}, proof{environment.proof}, limits{environment.limits},
-          services{environment.services}, orders{environment.orders}, numbers{environment.numbers} {}
+          alerts{environment.alerts}, store{environment.store}, services{environment.services},
+          orders{environment.orders}, numbers{environment.numbers} {}
 
     [[nodiscard]] http_reply list_addresses(const http_request& request) const {
         const auto service = request.parameter("service");
@@ -268,6 +274,10 @@
     [[nodiscard]] result<http_reply> run_order(const service_entry& service, const kind_rule& kind,
                                                const http_request& request, const request_headers& headers,
                                                const std::string& request_id, const time_point deadline) {
+        if (service.refuse_orders_without_store) {
+            BOOST_LEAF_AUTO(store_back, this->await_store(service, deadline));
+            static_cast<void>(store_back);
+        }
         order_request order{};
         order.service = service.name;
         order.kind = kind.name;
@@ -288,6 +298,22 @@
         return this->fail(internal::to_problem(outcome), request_id);
     }
 
+    /*! @brief Holds an order that its owner does not want run without the store; refuses it once that is alerted. */
+    [[nodiscard]] result<bool> await_store(const service_entry& service, const time_point deadline) {
+        while (this->store.out()) {
+            this->alerts.raise(service.name, limit_kind::store_required, "the store is out");
+            if (this->alerts.acknowledged(service.name, limit_kind::store_required)) {
+                return boost::leaf::new_error(
+                    refusal_error{service.name, limit_kind::store_required, internal::store_retry});
+            }
+            if (this->time.now() >= deadline) {
+                return boost::leaf::new_error(admission_timeout_error{service.name, limit_kind::store_required});
+            }
+            std::this_thread::sleep_for(internal::store_check_period);
+        }
+        return true;
+    }
+
     void finish(const std::string& service, const std::string_view outcome, const http_request& request) {
         std::string labels{"{service=\""};
         labels.append(service).append("\"");
--- a/src/mangopulley/entry/caller_service.hpp
+++ b/src/mangopulley/entry/caller_service.hpp
@@ -6,10 +6,12 @@
 #include "../core/clock.hpp"
 #include "../http/http_message.hpp"
 #include "../limit/admission.hpp"
+#include "../limit/alert_gate.hpp"
 #include "../membership/address_book.hpp"
 #include "../membership/standing.hpp"
 #include "../observe/metrics.hpp"
 #include "../order/order_service.hpp"
+#include "../order/store_status.hpp"
 #include "service_table.hpp"
 
 namespace mangopulley {
@@ -28,6 +30,8 @@
         const member_table& members;
         const standing& proof;
         admission& limits;
+        alert_gate& alerts;
+        const store_status& store;
         service_table& services;
         order_service& orders;
         metrics& numbers;
--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -141,7 +141,7 @@
                          order_timing{}};
 
     caller_service callers{{this->time, this->catalogue, this->addresses, this->members, this->proof, this->limits,
-                            this->services, this->orders, this->numbers}};
+                            this->alerts, this->store_state, this->services, this->orders, this->numbers}};
     peer_server peer_port{this->configuration.peer_address()};
     http_server caller_port{"caller_port", this->configuration.caller_address(), this->configuration.workers,
                             http_limits{}, [this](http_request&& request) { return this->callers.handle(request); }};
@@ -203,9 +203,23 @@
     /*! @brief Puts a new catalogue and instance list in force and states whether callers may be sent here. */
     void refresh() {
         this->services.refresh();
+        this->warn_of_store_outage();
         this->members.set_serving(this->proof.serving());
     }
 
+    /*! @brief Alerts the director before orders of services that require the store are refused. */
+    void warn_of_store_outage() {
+        const auto document = this->catalogue.current();
+        if (document->version == 0U || !this->store_state.out()) {
+            return;
+        }
+        for (const auto& service : document->services) {
+            if (service.refuse_orders_without_store) {
+                this->alerts.raise(service.name, limit_kind::store_required, "the store is out");
+            }
+        }
+    }
+
     [[nodiscard]] std::vector<service_demand> demands() const {
         std::vector<service_demand> all{};
         for (const auto& usage : this->limits.describe()) {
@@ -357,6 +371,7 @@
     }
     state.orders.drain();
     state.caller_port.stop();
+    state.archiver.stop();
     const auto handed = state.orders.shut_down();
     state.log.write(log_level::info, "orders_handed_over",
                     {{"archived", handed.archived ? "true" : "false"},
