--- a/test/integration/store_contract.cpp
+++ b/test/integration/store_contract.cpp
@@ -230,6 +230,7 @@
     this->start({"--read-rate", "3"});
     http_store_client client{this->store->address(), soon};
     std::vector<std::future<bool>> watches{};
+    watches.reserve(3U);
     for (int watch = 0; watch < 3; ++watch) {
         watches.push_back(std::async(std::launch::async, [&client] {
             const auto seen = attempt([&] { return client.watch("k", 0U, soon); });
