Blame no target for the time its cancelled request waits

Cause: a test of the hedge budget failed in some runs: requests given up after 20 ms still aged while they waited for a thread of the cancel pool, until they made every target suspect and no second target was left for a stalled request.

Conclusion: what an attempt showed is learnt when it is given up, and its slot is given back when the target knows.

--- a/src/mangopulley/routing/cancel_pool.cpp
+++ b/src/mangopulley/routing/cancel_pool.cpp
@@ -86,6 +86,8 @@
 }
 
 void cancel_pool::submit(std::unique_ptr<exchange> open, slot right, const observation& seen) {
+    // The wait for a free thread must not count as slowness of the target.
+    right.conclude(seen);
     implementation::job item{std::move(open), std::move(right), seen};
     {
         const std::lock_guard lock{this->self->guard};
--- a/src/mangopulley/routing/dispatcher.cpp
+++ b/src/mangopulley/routing/dispatcher.cpp
@@ -306,6 +306,11 @@
             state.table.describe_kinds()};
 }
 
+void dispatcher::conclude(target_table::attempt& given_up, const observation& seen) {
+    const std::lock_guard lock{this->self->guard};
+    this->self->table.conclude(given_up, seen, this->self->time.now());
+}
+
 void dispatcher::finish(target_table::attempt* const ended, const observation& seen) {
     std::string drained{};
     {
@@ -363,6 +368,12 @@
     this->finish({});
 }
 
+void slot::conclude(const observation& seen) {
+    if (this->held != nullptr) {
+        this->owner->conclude(*this->held, seen);
+    }
+}
+
 void slot::finish(const observation& seen) {
     if (this->held != nullptr) {
         this->owner->finish(std::exchange(this->held, nullptr), seen);
--- a/src/mangopulley/routing/dispatcher.hpp
+++ b/src/mangopulley/routing/dispatcher.hpp
@@ -64,6 +64,8 @@
     [[nodiscard]] const std::string& target_id() const noexcept { return this->id; }
     [[nodiscard]] const std::string& endpoint() const noexcept { return this->address; }
 
+    /*! @brief Reports an attempt that was given up, and keeps the right until its target has been told. */
+    void conclude(const observation& seen);
     /*! @brief Gives the right back and reports what the attempt showed; later calls have no effect. */
     void finish(const observation& seen);
 
@@ -196,6 +198,7 @@
     friend class slot;
     friend class second_claim;
     struct implementation;
+    void conclude(target_table::attempt& given_up, const observation& seen);
     void finish(target_table::attempt* ended, const observation& seen);
 
     std::unique_ptr<implementation> self;
--- a/src/mangopulley/routing/target_table.cpp
+++ b/src/mangopulley/routing/target_table.cpp
@@ -135,6 +135,7 @@
     time_point suspect_at{};
     duration median{};
     bool trial{};
+    bool concluded{};
 };
 
 struct target_table::implementation {
@@ -378,23 +379,31 @@
     return made.release();
 }
 
-std::string target_table::end(attempt* const ended, const observation& seen, const time_point now) {
-    const std::unique_ptr<attempt> item{ended};
-    auto& target = *item->target;
+void target_table::conclude(attempt& given_up, const observation& seen, const time_point now) {
+    if (std::exchange(given_up.concluded, true)) {
+        return;
+    }
+    auto& target = *given_up.target;
     const auto ended_at = std::min(seen.ended.value_or(now), now);
     // An overdue attempt that is no longer listed here is known to be a long request on a healthy target.
-    if (target.becomes_suspect.erase({item->suspect_at, item.get()}) == 0U) {
-        item->suspect_at = time_point::max();
+    if (target.becomes_suspect.erase({given_up.suspect_at, &given_up}) == 0U) {
+        given_up.suspect_at = time_point::max();
     }
     switch (seen.outcome) {
     case attempt_outcome::answered:
     case attempt_outcome::server_error:
-        this->self->learn_answer(target, *item, seen, ended_at, now);
+        this->self->learn_answer(target, given_up, seen, ended_at, now);
         break;
     default:
-        this->self->learn_failure(target, *item, seen, ended_at, now);
+        this->self->learn_failure(target, given_up, seen, ended_at, now);
         break;
     }
+}
+
+std::string target_table::end(attempt* const ended, const observation& seen, const time_point now) {
+    const std::unique_ptr<attempt> item{ended};
+    auto& target = *item->target;
+    this->conclude(*item, seen, now);
     --target.own;
     target.trials -= item->trial ? 1U : 0U;
     std::string drained{};
--- a/src/mangopulley/routing/target_table.hpp
+++ b/src/mangopulley/routing/target_table.hpp
@@ -175,6 +175,14 @@
      */
     [[nodiscard]] attempt* begin(std::size_t index, std::string_view kind, time_point now);
 
+    /**
+     * @brief Learns from an attempt that was given up while its target may still work on it; it keeps its slot.
+     * @param given_up Attempt; `end` then learns nothing more from it.
+     * @param seen What it showed.
+     * @param now Present time.
+     */
+    void conclude(attempt& given_up, const observation& seen, time_point now);
+
     /**
      * @brief Ends an attempt and learns from it.
      * @param ended Attempt; invalid afterwards.
--- a/test/mangopulley/routing/target_table.cpp
+++ b/test/mangopulley/routing/target_table.cpp
@@ -252,3 +252,17 @@
     static_cast<void>(this->table.end(first, {attempt_outcome::cancelled}, this->time.now()));
     static_cast<void>(this->table.end(second, {attempt_outcome::cancelled}, this->time.now()));
 }
+
+// Guards against blame for a target whose cancelled request waits for the cancellation to be sent.
+TEST(target_table, a_concluded_attempt_holds_its_slot_but_grows_no_older) {
+    this->list(2U);
+    auto* open = this->begin(0U);
+    this->time.advance(15ms);
+    this->table.conclude(*open, {attempt_outcome::cancelled}, this->time.now());
+    this->time.advance(1s);
+    CHECK_FALSE(this->look()[0U].suspect);
+    CHECK_EQUAL(1U, this->look()[0U].own);
+    static_cast<void>(this->table.end(open, {attempt_outcome::cancelled}, this->time.now()));
+    CHECK_FALSE(this->look()[0U].suspect);
+    CHECK_EQUAL(0U, this->look()[0U].own);
+}
