--- a/src/mangopulley/membership/member_table.cpp
+++ b/src/mangopulley/membership/member_table.cpp
@@ -47,9 +47,19 @@
     std::size_t cursor{};
     std::shared_ptr<const instance_list> list{std::make_shared<instance_list>()};
     std::map<std::string, std::shared_ptr<const internal::targets>, std::less<>> targets{};
+    /*! @brief Peer endpoints of entry instances in the platform's list, by name. */
+    std::map<std::string, std::string, std::less<>> listed_endpoints{};
 
     implementation(const clock& source, member self) : time{source}, own{std::move(self)}, own_start{source.now()} {}
 
+    /*! @brief Uses the platform's endpoint of a member, which may differ from what the member says of itself. */
+    void use_listed_endpoint(member& about) const {
+        const auto position = this->listed_endpoints.find(about.instance_name);
+        if (position != this->listed_endpoints.end()) {
+            about.peer_endpoint = position->second;
+        }
+    }
+
     void forget_old(const time_point now) {
         std::erase_if(this->entries, [&](const auto& item) {
             const bool old = now - item.second.heard >= forgotten_age;
@@ -163,6 +173,7 @@
         return;
     }
     if (auto* entry = this->state->admit(reported, at); entry != nullptr) {
+        this->state->use_listed_endpoint(entry->about);
         implementation::update(*entry, at - reported.age, how, reported.state == member_state::leaving,
                                reported.serving);
     }
@@ -233,9 +244,12 @@
 
 bool member_table::set_instances(instance_list list) {
     std::map<std::string, internal::targets, std::less<>> grouped{};
+    std::map<std::string, std::string, std::less<>> endpoints{};
     for (const auto& record : list.instances) {
         if (record.role == "target") {
             grouped[record.service].push_back(record);
+        } else {
+            endpoints.emplace(record.id, record.address);
         }
     }
     std::map<std::string, std::shared_ptr<const internal::targets>, std::less<>> shared{};
@@ -249,6 +263,10 @@
     }
     this->state->list = std::move(next);
     this->state->targets = std::move(shared);
+    this->state->listed_endpoints = std::move(endpoints);
+    for (auto& [incarnation, entry] : this->state->entries) {
+        this->state->use_listed_endpoint(entry.about);
+    }
     return true;
 }
 
