--- a/test/fake/fake_fleet.hpp
+++ b/test/fake/fake_fleet.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -49,6 +50,7 @@
     }
     [[nodiscard]] mangopulley::result<std::optional<mangopulley::stored_object>>
     watch(std::string_view key, std::uint64_t after, mangopulley::milliseconds wait) override {
+        std::this_thread::sleep_for(std::min(wait, this->pause));
         return this->reach([&] { return this->shared.watch(key, after, wait); });
     }
     [[nodiscard]] mangopulley::result<std::vector<mangopulley::listed_object>> list(std::string_view prefix) override {
@@ -56,10 +58,13 @@
     }
     [[nodiscard]] mangopulley::result<std::optional<mangopulley::instance_list>>
     watch_instances(std::uint64_t after, mangopulley::milliseconds wait) override {
+        std::this_thread::sleep_for(std::min(wait, this->pause));
         return this->reach([&] { return this->shared.watch_instances(after, wait); });
     }
 
     bool cut{};
+    /*! @brief Real time that a watch takes, for tests with threads. */
+    mangopulley::milliseconds pause{};
     std::atomic<std::uint64_t> calls{};
 
 private:
--- a/test/mangopulley/catalogue/catalogue_follower.cpp
+++ b/test/mangopulley/catalogue/catalogue_follower.cpp
@@ -103,6 +103,7 @@
 
 // Guards against threads that do not end.
 TEST(catalogue_follower, starts_and_stops) {
+    this->node().store.pause = 10ms;
     this->node().follower.start();
     this->node().follower.stop();
     this->node().heartbeats.start();
