Name a time to wait in each refusal under a rate limit

The integration test of refusals saw a 429 with `Retry-After: 0` in 1 of the 3 runs of a series on a busy host (load 28).

Cause: admission read the clock again after the attempt to take a token.

Ruled out: the rounding in problem.cpp, which rounds up, and a missing header, since the field is always set for a refusal.

The clock is now read before the attempt, and the time is at least 1 ms. The new unit test drives admission with a clock that moves at each reading: with the former admission.cpp in a scratch copy it fails at the first such refusal, with this one it passes. unit_tests: 110 tests, all passed.

--- a/src/mangopulley/limit/admission.cpp
+++ b/src/mangopulley/limit/admission.cpp
@@ -155,18 +155,19 @@
     const auto state = this->self->usage_of(service.name);
     std::unique_lock lock{state->guard};
     while (true) {
+        // Read before the attempt: with a later time a token could have come since, and the time to wait would be 0.
+        const auto now = this->self->time.now();
         const auto obstacle = this->self->try_enter(*state, service);
         if (!obstacle) {
             return permit{std::shared_ptr<void>{state.get(), [state](void* /*place*/) { state->leave(); }}};
         }
-        const auto now = this->self->time.now();
         this->self->alerts.raise(service.name, *obstacle, "the limit is reached");
         if (this->self->alerts.acknowledged(service.name, *obstacle)) {
             ++state->refused;
             const auto wait = *obstacle == limit_kind::requests_per_second ? state->bucket.time_to_token(now)
                                                                            : duration{std::chrono::seconds{1}};
-            return boost::leaf::new_error(
-                refusal_error{service.name, *obstacle, std::chrono::ceil<milliseconds>(wait)});
+            return boost::leaf::new_error(refusal_error{
+                service.name, *obstacle, std::max(milliseconds{1}, std::chrono::ceil<milliseconds>(wait))});
         }
         if (now >= deadline) {
             return boost::leaf::new_error(admission_timeout_error{service.name, *obstacle});
--- a/test/mangopulley/limit/admission.cpp
+++ b/test/mangopulley/limit/admission.cpp
@@ -35,6 +35,20 @@
         [](const admission_timeout_error&) { return verdict::timed_out; }, [] { return verdict::timed_out; });
 }
 
+/*! @brief System clock that also moves on at each reading, as on a host that pauses the thread between two of them. */
+class moving_clock final : public mangopulley::clock {
+public:
+    [[nodiscard]] time_point now() const noexcept override {
+        return this->source.now() + this->readings.fetch_add(1) * 200us;
+    }
+
+    [[nodiscard]] std::chrono::system_clock::time_point wall() const noexcept override { return this->source.wall(); }
+
+private:
+    system_clock_source source{};
+    mutable std::atomic<int> readings{};
+};
+
 } // namespace
 
 TEST_GROUP(admission) {
@@ -94,3 +108,27 @@
     CHECK_TRUE(judge(this->gate, this->service, 2s, third) == verdict::admitted);
     ends.join();
 }
+
+// Guards against a refusal that tells the caller to repeat in 0 s because a token came between two readings of the
+// clock.
+TEST(admission, names_a_time_to_wait_in_each_refusal) {
+    const moving_clock moving{};
+    admission limited{moving, this->shares, this->alerts};
+    this->service.limits = {1000.0, 0U, 0U};
+    int refused{};
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (refused < 200 && std::chrono::steady_clock::now() < end) {
+        boost::leaf::try_handle_all(
+            [&]() -> result<void> {
+                BOOST_LEAF_AUTO(place, limited.admit(this->service, moving.now() + 1h));
+                static_cast<void>(place);
+                return {};
+            },
+            [&](const refusal_error& error) {
+                ++refused;
+                CHECK_TRUE(error.retry_after >= 1ms);
+            },
+            [] {});
+    }
+    CHECK_EQUAL(200, refused);
+}
