--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -20,6 +21,8 @@
 namespace internal {
 
 constexpr std::size_t listed_addresses = 3U;
+constexpr milliseconds store_check_period{20};
+constexpr milliseconds store_retry{5000};
 constexpr milliseconds short_wait{1'000};
 constexpr std::string_view services_prefix = "/v1/services/";
 constexpr std::string_view kinds_part = "/kinds/";
@@ -70,8 +73,8 @@
 }
 
 [[nodiscard]] problem unknown(std::string type, std::string detail) {
-    return {504,   "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
-            {}, {}};
+    return {504, "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
+            {},  {}};
 }
 
 [[nodiscard]] http_reply to_reply(const target_answer& answer) {
@@ -92,8 +95,16 @@
     const std::string type{mangopulley::to_string(outcome.reason)};
     switch (outcome.state) {
     case order_state::content_mismatch:
-        return {422, "not-run", "content-mismatch", "The key was used before with other content", outcome.detail, {},
-                {},  {},        {},                 {}};
+        return {422,
+                "not-run",
+                "content-mismatch",
+                "The key was used before with other content",
+                outcome.detail,
+                {},
+                {},
+                {},
+                {},
+                {}};
     case order_state::not_run: {
         auto cause = not_run(type, outcome.detail);
         cause.order_token = outcome.fresh_token.value_or("");
@@ -123,6 +134,8 @@
     const member_table& members;
     const standing& proof;
     admission& limits;
+    alert_gate& alerts;
+    const store_status& store;
     service_table& services;
     order_service& orders;
     metrics& numbers;
@@ -131,7 +144,8 @@
     explicit implementation(const parts& environment)
         : time{environment.time}, catalogue{environment.catalogue}, addresses{environment.addresses},
           members{environment.members}, proof{environment.proof}, limits{environment.limits},
-          services{environment.services}, orders{environment.orders}, numbers{environment.numbers} {}
+          alerts{environment.alerts}, store{environment.store}, services{environment.services},
+          orders{environment.orders}, numbers{environment.numbers} {}
 
     [[nodiscard]] http_reply list_addresses(const http_request& request) const {
         const auto service = request.parameter("service");
@@ -167,7 +181,8 @@
 
     /*! @brief Other instances for a caller that reached one which takes no requests. */
     [[nodiscard]] problem not_serving(const std::string& service) const {
-        auto cause = internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
+        auto cause =
+            internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
         for (const auto& item : this->addresses.addresses_of(service, internal::listed_addresses)) {
             if (item.incarnation != this->members.self().incarnation) {
                 cause.addresses.push_back(item.caller_address);
@@ -259,6 +274,10 @@
     [[nodiscard]] result<http_reply> run_order(const service_entry& service, const kind_rule& kind,
                                                const http_request& request, const request_headers& headers,
                                                const std::string& request_id, const time_point deadline) {
+        if (service.refuse_orders_without_store) {
+            BOOST_LEAF_AUTO(store_back, this->await_store(service, deadline));
+            static_cast<void>(store_back);
+        }
         order_request order{};
         order.service = service.name;
         order.kind = kind.name;
@@ -279,6 +298,22 @@
         return this->fail(internal::to_problem(outcome), request_id);
     }
 
+    /*! @brief Holds an order that its owner does not want run without the store; refuses it once that is alerted. */
+    [[nodiscard]] result<bool> await_store(const service_entry& service, const time_point deadline) {
+        while (this->store.out()) {
+            this->alerts.raise(service.name, limit_kind::store_required, "the store is out");
+            if (this->alerts.acknowledged(service.name, limit_kind::store_required)) {
+                return boost::leaf::new_error(
+                    refusal_error{service.name, limit_kind::store_required, internal::store_retry});
+            }
+            if (this->time.now() >= deadline) {
+                return boost::leaf::new_error(admission_timeout_error{service.name, limit_kind::store_required});
+            }
+            std::this_thread::sleep_for(internal::store_check_period);
+        }
+        return true;
+    }
+
     void finish(const std::string& service, const std::string_view outcome, const http_request& request) {
         std::string labels{"{service=\""};
         labels.append(service).append("\"");
@@ -289,11 +324,9 @@
     [[nodiscard]] http_reply fail(problem cause, const std::string& request_id) {
         cause.request_id = request_id;
         this->numbers.count("problems_total{type=\"" + cause.type + "\",outcome=\"" + cause.outcome + "\"}");
-        this->log.write(log_level::info, "request_failed",
-                        {{"request_id", request_id},
-                         {"outcome", cause.outcome},
-                         {"type", cause.type},
-                         {"detail", cause.detail}});
+        this->log.write(
+            log_level::info, "request_failed",
+            {{"request_id", request_id}, {"outcome", cause.outcome}, {"type", cause.type}, {"detail", cause.detail}});
         return to_reply(cause);
     }
 
--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -20,9 +20,11 @@
 #include "../core/kernel.hpp"
 #include "../core/periodic_task.hpp"
 #include "../http/http_server.hpp"
+#include "../lease/lease_keeper.hpp"
 #include "../limit/admission.hpp"
 #include "../limit/alert_gate.hpp"
 #include "../limit/share_table.hpp"
+#include "../measure/prober.hpp"
 #include "../membership/address_book.hpp"
 #include "../membership/drain_notices.hpp"
 #include "../membership/heartbeat_service.hpp"
@@ -50,10 +52,12 @@
 constexpr milliseconds target_connect_timeout{250};
 constexpr std::size_t idle_connections_per_target = 64U;
 constexpr milliseconds refresh_period{50};
-constexpr milliseconds share_period{500};
+constexpr milliseconds share_period{100};
 constexpr milliseconds archive_period{500};
 // Shares of limits need contact within this time; shorter than the 3 s after which others take a share over.
 constexpr milliseconds share_contact_age{2'000};
+// A target that this instance sent nothing to for this time is measured by a probe, if the budget allows one.
+constexpr milliseconds idle_before_probe{5'000};
 constexpr std::size_t peer_threads = 4U;
 constexpr std::size_t most_waiting_peer_calls = 64U;
 constexpr std::size_t operator_workers = 2U;
@@ -107,7 +111,7 @@
                                  [this] { return this->demands(); },
                                  this->incarnation.value()};
 
-    share_table shares{this->time};
+    share_table shares{};
     http_alert_sender alert_outlet{this->configuration.director_endpoints};
     alert_gate alerts{this->time, this->alert_outlet, this->configuration.instance_name};
     admission limits{this->time, this->shares, this->alerts};
@@ -117,6 +121,14 @@
         {this->time, this->catalogue, this->members, this->draining, this->targets, this->cancellations},
         [this](const std::string_view target) { this->heartbeats.announce_drain(target); }};
 
+    lease_keeper leases{this->time, this->store, this->incarnation, lease_rule{},
+                        [] { return incarnation_id::generate().value(); }};
+    prober probes{{this->time, this->targets, this->leases, this->catalogue},
+                  {.wanted = [this](const std::string_view service) { return this->leads(service); },
+                   .idle_targets = [this](const std::string_view service) { return this->idle_targets(service); },
+                   .report = [this](const std::string_view service, const std::string_view endpoint,
+                                    const load_report& load) { this->take_probe(service, endpoint, load); }}};
+
     member_directory directory{this->members, this->addresses};
     standing_store_status store_state{this->proof};
     order_dispatch order_targets{this->catalogue, this->services};
@@ -129,7 +141,7 @@
                          order_timing{}};
 
     caller_service callers{{this->time, this->catalogue, this->addresses, this->members, this->proof, this->limits,
-                            this->services, this->orders, this->numbers}};
+                            this->alerts, this->store_state, this->services, this->orders, this->numbers}};
     peer_server peer_port{this->configuration.peer_address()};
     http_server caller_port{"caller_port", this->configuration.caller_address(), this->configuration.workers,
                             http_limits{}, [this](http_request&& request) { return this->callers.handle(request); }};
@@ -139,9 +151,9 @@
     periodic_task sharer{"share_update", internal::share_period, [this] { this->update_shares(); }};
     periodic_task archiver{"order_archive", internal::archive_period, [this] { this->archive.step(); }};
     /*! @brief Plug-ins in the order of their start; they are members above, so none is owned here. */
-    std::vector<plugin*> order_of_start{&this->alerts, &this->cancellations, &this->peer_port, &this->follower,    &this->heartbeats,
-                                        &this->refresher,  &this->sharer,    &this->archiver,    &this->operator_port,
-                                        &this->caller_port};
+    std::vector<plugin*> order_of_start{&this->alerts,     &this->cancellations, &this->peer_port,  &this->follower,
+                                        &this->heartbeats, &this->refresher,     &this->sharer,     &this->archiver,
+                                        &this->probes,     &this->operator_port, &this->caller_port};
     std::size_t started{};
     std::uint64_t gaps{};
     std::mutex leaving_guard{};
@@ -191,9 +203,23 @@
     /*! @brief Puts a new catalogue and instance list in force and states whether callers may be sent here. */
     void refresh() {
         this->services.refresh();
+        this->warn_of_store_outage();
         this->members.set_serving(this->proof.serving());
     }
 
+    /*! @brief Alerts the director before orders of services that require the store are refused. */
+    void warn_of_store_outage() {
+        const auto document = this->catalogue.current();
+        if (document->version == 0U || !this->store_state.out()) {
+            return;
+        }
+        for (const auto& service : document->services) {
+            if (service.refuse_orders_without_store) {
+                this->alerts.raise(service.name, limit_kind::store_required, "the store is out");
+            }
+        }
+    }
+
     [[nodiscard]] std::vector<service_demand> demands() const {
         std::vector<service_demand> all{};
         for (const auto& usage : this->limits.describe()) {
@@ -207,6 +233,33 @@
         return all;
     }
 
+    /*! @brief Tells whether callers of a service are sent to this instance first. */
+    [[nodiscard]] bool leads(const std::string_view service) const {
+        return this->addresses.lead_of(service) == this->incarnation;
+    }
+
+    [[nodiscard]] std::vector<std::string> idle_targets(const std::string_view service) const {
+        std::vector<std::string> endpoints{};
+        if (const auto runtime = this->services.find(service)) {
+            for (const auto& target : runtime->requests().idle_targets(internal::idle_before_probe)) {
+                endpoints.push_back(target.endpoint);
+            }
+        }
+        return endpoints;
+    }
+
+    void take_probe(const std::string_view service, const std::string_view endpoint, const load_report& load) {
+        const auto runtime = this->services.find(service);
+        if (!runtime) {
+            return;
+        }
+        for (const auto& target : *this->members.targets_of(service)) {
+            if (target.address == endpoint) {
+                runtime->requests().report(target.id, load);
+            }
+        }
+    }
+
     void update_shares() {
         const auto gaps_now = this->proof.gaps();
         if (gaps_now != this->gaps) {
@@ -227,7 +280,8 @@
         for (const auto& service : this->catalogue.current()->services) {
             demand_view view{};
             view.own = own[service.name];
-            view.total = view.own + others[service_hash(service.name)];
+            view.others = others[service_hash(service.name)];
+            view.limit = service.limits.requests_per_second;
             view.instances = this->members.live().size();
             view.standing = contact && *contact <= internal::share_contact_age;
             this->shares.update(service.name, view);
@@ -273,6 +327,9 @@
         this->numbers.gauge("peer_bytes_sent", [this] {
             return static_cast<double>(this->peers.counts().sent + this->peer_port.bytes_sent());
         });
+        this->numbers.gauge("probes_sent", [this] { return static_cast<double>(this->probes.sent()); });
+        this->numbers.gauge("undecodable_catalogues",
+                            [this] { return static_cast<double>(this->follower.undecodable()); });
         this->numbers.gauge("store_calls", [this] {
             const auto counts = this->store.counts();
             return static_cast<double>(counts.reads + counts.writes + counts.watches);
@@ -283,7 +340,9 @@
 entry_process::entry_process(settings configuration)
     : self{std::make_unique<implementation>(std::move(configuration))} {}
 
-entry_process::~entry_process() { this->stop(); }
+entry_process::~entry_process() {
+    this->stop();
+}
 
 void entry_process::start() {
     auto& state = *this->self;
@@ -312,6 +371,7 @@
     }
     state.orders.drain();
     state.caller_port.stop();
+    state.archiver.stop();
     const auto handed = state.orders.shut_down();
     state.log.write(log_level::info, "orders_handed_over",
                     {{"archived", handed.archived ? "true" : "false"},
--- a/src/mangopulley/routing/dispatcher.hpp
+++ b/src/mangopulley/routing/dispatcher.hpp
@@ -64,6 +64,8 @@
     [[nodiscard]] const std::string& target_id() const noexcept { return this->id; }
     [[nodiscard]] const std::string& endpoint() const noexcept { return this->address; }
 
+    /*! @brief Reports an attempt that was given up, and keeps the right until its target has been told. */
+    void conclude(const observation& seen);
     /*! @brief Gives the right back and reports what the attempt showed; later calls have no effect. */
     void finish(const observation& seen);
 
@@ -181,7 +183,7 @@
                                                         std::span<const std::string> excluded);
 
     /*! @brief Returns when a second attempt is worth its cost; see `target_table::hedge_time`. */
-    [[nodiscard]] time_point hedge_time(const slot& open) const;
+    [[nodiscard]] time_point hedge_time(const slot& open, bool suspects_only) const;
     /*! @brief Returns the median answer time of a kind; zero when it is not known. */
     [[nodiscard]] duration expected_time(std::string_view kind) const;
 
@@ -196,6 +198,7 @@
     friend class slot;
     friend class second_claim;
     struct implementation;
+    void conclude(target_table::attempt& given_up, const observation& seen);
     void finish(target_table::attempt* ended, const observation& seen);
 
     std::unique_ptr<implementation> self;
--- a/src/mangopulley/routing/target_table.cpp
+++ b/src/mangopulley/routing/target_table.cpp
@@ -135,6 +135,7 @@
     time_point suspect_at{};
     duration median{};
     bool trial{};
+    bool concluded{};
 };
 
 struct target_table::implementation {
@@ -350,8 +351,9 @@
         if (seen.avoided) {
             const auto& item = *this->self->targets[seen.index];
             const bool waited = now >= item.trial_after;
-            seen.trial_open = item.trials == 0U && (!item.unreachable || waited);
-            seen.trial_due = seen.trial_open && waited && !item.overdue(now);
+            // An overdue attempt already shows that the target is still slow.
+            seen.trial_open = item.trials == 0U && !item.overdue(now) && (!item.unreachable || waited);
+            seen.trial_due = seen.trial_open && waited;
         }
     }
 }
@@ -377,23 +379,31 @@
     return made.release();
 }
 
-std::string target_table::end(attempt* const ended, const observation& seen, const time_point now) {
-    const std::unique_ptr<attempt> item{ended};
-    auto& target = *item->target;
+void target_table::conclude(attempt& given_up, const observation& seen, const time_point now) {
+    if (std::exchange(given_up.concluded, true)) {
+        return;
+    }
+    auto& target = *given_up.target;
     const auto ended_at = std::min(seen.ended.value_or(now), now);
     // An overdue attempt that is no longer listed here is known to be a long request on a healthy target.
-    if (target.becomes_suspect.erase({item->suspect_at, item.get()}) == 0U) {
-        item->suspect_at = time_point::max();
+    if (target.becomes_suspect.erase({given_up.suspect_at, &given_up}) == 0U) {
+        given_up.suspect_at = time_point::max();
     }
     switch (seen.outcome) {
     case attempt_outcome::answered:
     case attempt_outcome::server_error:
-        this->self->learn_answer(target, *item, seen, ended_at, now);
+        this->self->learn_answer(target, given_up, seen, ended_at, now);
         break;
     default:
-        this->self->learn_failure(target, *item, seen, ended_at, now);
+        this->self->learn_failure(target, given_up, seen, ended_at, now);
         break;
     }
+}
+
+std::string target_table::end(attempt* const ended, const observation& seen, const time_point now) {
+    const std::unique_ptr<attempt> item{ended};
+    auto& target = *item->target;
+    this->conclude(*item, seen, now);
     --target.own;
     target.trials -= item->trial ? 1U : 0U;
     std::string drained{};
@@ -419,18 +429,21 @@
     return open.target->record.endpoint;
 }
 
-time_point target_table::hedge_time(const attempt& open, const time_point now) const noexcept {
+time_point target_table::hedge_time(const attempt& open, const bool suspects_only,
+                                    const time_point now) const noexcept {
     if (!open.times->known()) {
         return time_point::max();
     }
     const auto& target = *open.target;
-    auto trigger = open.started + open.times->percentile_95();
+    auto trigger = suspects_only ? time_point::max() : open.started + open.times->percentile_95();
     if (target.suspect(now)) {
         trigger = open.started;
     } else if (!target.becomes_suspect.empty()) {
         trigger = std::min(trigger, target.becomes_suspect.begin()->first);
     }
-    return std::max(open.started + open.times->median(), trigger);
+    // Half of the answers of a healthy target take longer than the median, so a margin saves hedges during a trial.
+    const auto usual = open.times->median() + open.times->median() / 2;
+    return std::max(open.started + std::min(usual, open.times->percentile_95()), trigger);
 }
 
 const answer_times& target_table::times(const std::string_view kind) {
--- a/test/mangopulley/routing/target_table.cpp
+++ b/test/mangopulley/routing/target_table.cpp
@@ -242,13 +242,27 @@
     }
     auto* first = this->begin(0U);
     const auto start = this->time.now();
-    CHECK_TRUE(this->table.hedge_time(*first, start) == start + 25ms);
+    CHECK_TRUE(this->table.hedge_time(*first, false, start) == start + 25ms);
     this->time.advance(25ms);
     auto* second = this->begin(0U);
-    CHECK_TRUE(this->table.hedge_time(*second, this->time.now()) == start + 25ms + 10ms);
+    CHECK_TRUE(this->table.hedge_time(*second, false, this->time.now()) == start + 25ms + 15ms);
     static_cast<void>(this->table.end(first, {attempt_outcome::answered}, this->time.now()));
-    CHECK_TRUE(this->table.hedge_time(*second, this->time.now()) == start + 25ms + 25ms);
+    CHECK_TRUE(this->table.hedge_time(*second, false, this->time.now()) == start + 25ms + 25ms);
     first = this->begin(1U);
     static_cast<void>(this->table.end(first, {attempt_outcome::cancelled}, this->time.now()));
     static_cast<void>(this->table.end(second, {attempt_outcome::cancelled}, this->time.now()));
 }
+
+// Guards against blame for a target whose cancelled request waits for the cancellation to be sent.
+TEST(target_table, a_concluded_attempt_holds_its_slot_but_grows_no_older) {
+    this->list(2U);
+    auto* open = this->begin(0U);
+    this->time.advance(15ms);
+    this->table.conclude(*open, {attempt_outcome::cancelled}, this->time.now());
+    this->time.advance(1s);
+    CHECK_FALSE(this->look()[0U].suspect);
+    CHECK_EQUAL(1U, this->look()[0U].own);
+    static_cast<void>(this->table.end(open, {attempt_outcome::cancelled}, this->time.now()));
+    CHECK_FALSE(this->look()[0U].suspect);
+    CHECK_EQUAL(0U, this->look()[0U].own);
+}
