Refuse to start on a port that another process listens on

Seen: `mangopulley entry` started a second time with the same settings ran beside the first one without an error.

Cause: Poco's bind with an address only, and its constructor of a listening socket, set SO_REUSEPORT. The system then hands each process a part of the connections, so that callers, operators and peers reach either of the two.

Ruled out: SO_REUSEADDR, which does not let two sockets listen on one port; it stays, so that a restart does not wait for old connections.

Two unit tests start two servers on one port; before the change both failed ("expected to throw Poco::Exception but threw nothing"). unit_tests: 112 tests, all passed. The start with equal settings was tried before the change only.

--- a/src/mangopulley/http/http_server.cpp
+++ b/src/mangopulley/http/http_server.cpp
@@ -395,7 +395,8 @@
 
 void http_server::start() {
     auto& state = *this->self;
-    state.listener.bind(Poco::Net::SocketAddress{state.address}, true);
+    // Without SO_REUSEPORT, which Poco sets by default: two processes on one port would each get a part of the callers.
+    state.listener.bind(Poco::Net::SocketAddress{state.address}, true, false);
     state.listener.listen(internal::listen_backlog);
     state.listener.setBlocking(false);
     const auto job = [&state](internal::pending_request&& item) { state.answer(std::move(item)); };
--- a/src/mangopulley/peer/peer_server.cpp
+++ b/src/mangopulley/peer/peer_server.cpp
@@ -19,6 +19,8 @@
 
 namespace internal {
 
+// As many connections as Poco's own constructor of a listening socket lets wait.
+constexpr int listen_backlog = 64;
 constexpr int most_peer_connections = 256;
 constexpr Poco::Timespan::TimeDiff idle_limit_us = 60'000'000;
 constexpr Poco::Timespan::TimeDiff stop_check_us = 200'000;
@@ -126,7 +128,10 @@
     Poco::Net::TCPServerParams::Ptr parameters{new Poco::Net::TCPServerParams{}};
     parameters->setMaxThreads(internal::most_peer_connections);
     parameters->setMaxQueued(internal::most_peer_connections);
-    const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{this->self->address}};
+    Poco::Net::ServerSocket socket{};
+    // Without SO_REUSEPORT, which Poco sets by default: two processes on one port would each get a part of the calls.
+    socket.bind(Poco::Net::SocketAddress{this->self->address}, true, false);
+    socket.listen(internal::listen_backlog);
     this->self->server = std::make_unique<Poco::Net::TCPServer>(
         new internal::peer_connection_factory{this->self->state}, this->self->threads, socket, parameters);
     this->self->server->start();
