Do not deny an order that another instance may have run

Cause: an instance that takes no requests, has no target, or lets a request wait for a limit until its deadline answered not-run to any request, also to a repeat of a key that had run through another instance. Decision: without a question to the home only the submission is known not to have run, so the answer is unknown with the other addresses, unless the caller marks its first attempt with Mangopulley-Attempt: 1. Problems with status 404 and 429 are unchanged.

--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -70,8 +70,26 @@
 }
 
 [[nodiscard]] problem unknown(std::string type, std::string detail) {
-    return {504,   "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
-            {}, {}};
+    return {504, "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
+            {},  {}};
+}
+
+/**
+ * @brief Weakens `not-run` where an instance turned a submission away without asking the home of the key.
+ *
+ * Only this submission is known not to have run. An earlier one of the same key may have run through another instance,
+ * unless the caller says that this is the first.
+ */
+[[nodiscard]] problem without_proof(problem cause, const http_request& request) {
+    if (cause.status != 503 || !request.header("Idempotency-Key") ||
+        request.header("Mangopulley-Attempt").value_or("") == "1") {
+        return cause;
+    }
+    auto weaker = unknown(std::move(cause.type), std::move(cause.detail));
+    weaker.detail += "; this submission was not run, but an earlier one of the same key may have been";
+    weaker.addresses = std::move(cause.addresses);
+    weaker.retry_after = short_wait;
+    return weaker;
 }
 
 [[nodiscard]] http_reply to_reply(const target_answer& answer) {
@@ -92,8 +110,16 @@
     const std::string type{mangopulley::to_string(outcome.reason)};
     switch (outcome.state) {
     case order_state::content_mismatch:
-        return {422, "not-run", "content-mismatch", "The key was used before with other content", outcome.detail, {},
-                {},  {},        {},                 {}};
+        return {422,
+                "not-run",
+                "content-mismatch",
+                "The key was used before with other content",
+                outcome.detail,
+                {},
+                {},
+                {},
+                {},
+                {}};
     case order_state::not_run: {
         auto cause = not_run(type, outcome.detail);
         cause.order_token = outcome.fresh_token.value_or("");
@@ -167,7 +193,8 @@
 
     /*! @brief Other instances for a caller that reached one which takes no requests. */
     [[nodiscard]] problem not_serving(const std::string& service) const {
-        auto cause = internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
+        auto cause =
+            internal::not_run("not-serving", "this instance cannot confirm its catalogue; use another address");
         for (const auto& item : this->addresses.addresses_of(service, internal::listed_addresses)) {
             if (item.incarnation != this->members.self().incarnation) {
                 cause.addresses.push_back(item.caller_address);
@@ -184,7 +211,7 @@
         const auto document = this->catalogue.current();
         const auto* service = document->find_service(path->service);
         if (service == nullptr && !this->proof.serving()) {
-            return this->fail(this->not_serving(path->service), request_id);
+            return this->fail(internal::without_proof(this->not_serving(path->service), request), request_id);
         }
         if (service == nullptr) {
             return this->fail(internal::not_found("the catalogue has no service '" + path->service + "'"), request_id);
@@ -195,7 +222,7 @@
                               request_id);
         }
         if (!this->proof.serving(service->serve_unconfirmed)) {
-            return this->fail(this->not_serving(path->service), request_id);
+            return this->fail(internal::without_proof(this->not_serving(path->service), request), request_id);
         }
         return boost::leaf::try_handle_all(
             [&]() -> result<http_reply> {
@@ -207,16 +234,16 @@
             },
             [&](const refusal_error& error) { return this->refuse(error, request_id); },
             [&](const admission_timeout_error& error) {
-                return this->fail(internal::not_run("deadline-passed", "the deadline passed before the limit '" +
-                                                                           std::string{to_string(error.limit)} +
-                                                                           "' allowed the request"),
-                                  request_id);
+                auto cause = internal::not_run("deadline-passed", "the deadline passed before the limit '" +
+                                                                      std::string{to_string(error.limit)} +
+                                                                      "' allowed the request");
+                return this->fail(internal::without_proof(std::move(cause), request), request_id);
             },
             [&](const queue_error& error) {
-                return this->fail(error.code == queue_error::code::no_target
-                                      ? internal::not_run("no-target", "the service has no target")
-                                      : internal::not_run("deadline-passed", "no target was free before the deadline"),
-                                  request_id);
+                auto cause = error.code == queue_error::code::no_target
+                                 ? internal::not_run("no-target", "the service has no target")
+                                 : internal::not_run("deadline-passed", "no target was free before the deadline");
+                return this->fail(internal::without_proof(std::move(cause), request), request_id);
             },
             [&](const target_error& error) {
                 return this->fail(error.not_run() ? internal::not_run("target-failed", error.detail)
@@ -289,11 +316,9 @@
     [[nodiscard]] http_reply fail(problem cause, const std::string& request_id) {
         cause.request_id = request_id;
         this->numbers.count("problems_total{type=\"" + cause.type + "\",outcome=\"" + cause.outcome + "\"}");
-        this->log.write(log_level::info, "request_failed",
-                        {{"request_id", request_id},
-                         {"outcome", cause.outcome},
-                         {"type", cause.type},
-                         {"detail", cause.detail}});
+        this->log.write(
+            log_level::info, "request_failed",
+            {{"request_id", request_id}, {"outcome", cause.outcome}, {"type", cause.type}, {"detail", cause.detail}});
         return to_reply(cause);
     }
 
