Lead messages between instances through the proxies by the platform's list again

Cause: the cluster of the harness redirected connect() with a preloaded library, because instances used the addresses in heartbeats. Since the platform's list now decides the endpoint of an instance, the views of the store stand-in lead each instance through its own proxies, and the harness test of these views failed with the library.

Ruled out: keeping both ways.

--- a/test/standin/common/cluster.cpp
+++ b/test/standin/common/cluster.cpp
@@ -126,34 +126,20 @@
     }
 
     void start_peer_links() {
+        nlohmann::json views = nlohmann::json::object();
         for (std::size_t from = 0U; from < this->entries.size(); ++from) {
+            nlohmann::json view = nlohmann::json::object();
             for (std::size_t to = 0U; to < this->entries.size(); ++to) {
                 if (from != to) {
-                    this->entries[from].peer_links[to] = this->start_link(loopback(this->entries[to].peer_port));
+                    const auto address = loopback(this->entries[to].peer_port);
+                    auto& link = this->entries[from].peer_links[to];
+                    link = this->start_link(address);
+                    view[address] = link->address();
                 }
             }
+            views[std::to_string(this->entries[from].view_port)] = std::move(view);
         }
-    }
-
-    /**
-     * @brief Returns the command that starts an entry process.
-     *
-     * Instances tell each other their real addresses in heartbeats, which would lead past the proxies. A preloaded
-     * library therefore redirects their connections.
-     */
-    [[nodiscard]] std::vector<std::string> entry_command(const entry_plan& entry) const {
-        std::vector<std::string> command{};
-        if (!entry.peer_links.empty()) {
-            std::string redirects{};
-            for (const auto& [to, link] : entry.peer_links) {
-                redirects.append(redirects.empty() ? "" : ",").append(std::to_string(this->entries[to].peer_port));
-                redirects.append("=").append(link->address().substr(link->address().rfind(':') + 1U));
-            }
-            const auto library = this->options.binary_folder / "test" / "standin_redirect.so";
-            command = {"/usr/bin/env", "LD_PRELOAD=" + library.string(), "STANDIN_REDIRECT=" + redirects};
-        }
-        command.push_back((this->options.binary_folder / "mangopulley").string());
-        return command;
+        control(this->store->address(), "/control/views", views);
     }
 
     void publish() const { control(this->store->address(), "/control/instances", this->instances); }
@@ -202,11 +188,9 @@
     const auto settings = this->self->write_settings(entry);
     const auto output = entry.id + '-' + std::to_string(this->self->runs++) + ".out";
     entry.program.reset();
-    auto command = this->self->entry_command(entry);
-    const auto program = command.front();
-    command.erase(command.begin());
-    command.insert(command.end(), {"entry", "--settings", settings.string()});
-    entry.program = std::make_unique<process>(program, command, this->self->folder.path() / output);
+    entry.program = std::make_unique<process>(this->self->options.binary_folder / "mangopulley",
+                                              std::vector<std::string>{"entry", "--settings", settings.string()},
+                                              this->self->folder.path() / output);
 }
 
 bool cluster::wait_healthy(const std::size_t index, const std::chrono::milliseconds limit) {
