Keep a state dump during the start from ending the process

Cause: the operator port starts before the caller port. A `/state` request in between reads the numbers of the caller port while its worker pools are being assigned, so that the second pool can still be null.

Both pools are now assigned under the lock, which `numbers` takes too.

--- a/src/mangopulley/http/http_server.cpp
+++ b/src/mangopulley/http/http_server.cpp
@@ -400,8 +400,14 @@
     state.listener.listen(internal::listen_backlog);
     state.listener.setBlocking(false);
     const auto job = [&state](internal::pending_request&& item) { state.answer(std::move(item)); };
-    state.workers = std::make_unique<internal::worker_pool>(state.worker_count, job);
-    state.quick = std::make_unique<internal::worker_pool>(internal::quick_workers, job);
+    auto workers = std::make_unique<internal::worker_pool>(state.worker_count, job);
+    auto quick = std::make_unique<internal::worker_pool>(internal::quick_workers, job);
+    {
+        // `numbers` is called from threads of other servers, which start earlier.
+        const std::lock_guard lock{state.guard};
+        state.workers = std::move(workers);
+        state.quick = std::move(quick);
+    }
     state.polled.add(state.listener, Poco::Net::PollSet::POLL_READ);
     state.collector = std::thread{[&state] { state.collect(); }};
 }
@@ -431,6 +437,7 @@
     numbers.connections = state.open.load();
     numbers.accepted = state.accepted.load();
     numbers.rejected = state.rejected.load();
+    const std::lock_guard lock{state.guard};
     if (state.workers) {
         numbers.waiting = state.workers->waiting() + state.quick->waiting();
         numbers.in_progress = state.workers->busy() + state.quick->busy();
--- a/test/mangopulley/http/http_server.cpp
+++ b/test/mangopulley/http/http_server.cpp
@@ -1,3 +1,6 @@
+#include <atomic>
+#include <thread>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
@@ -17,3 +20,28 @@
     CHECK_THROWS(Poco::Exception, second.start());
     first.stop();
 }
+
+// Guards against a state dump, asked for at the operator port, that ends the process while the caller port still
+// starts.
+TEST(http_server, tells_its_numbers_while_it_starts) {
+    const auto port = Poco::Net::ServerSocket{Poco::Net::SocketAddress{"127.0.0.1", 0}}.address().toString();
+    const auto answer = [](mangopulley::http_request&& /*request*/) { return mangopulley::http_reply{}; };
+    for (unsigned round = 0U; round < 20U; ++round) {
+        mangopulley::http_server server{"server", port, 8U, {}, answer};
+        std::atomic<bool> asking{};
+        std::jthread observer{[&](const std::stop_token& stop) {
+            while (!stop.stop_requested()) {
+                static_cast<void>(server.numbers());
+                asking = true;
+            }
+        }};
+        while (!asking) {
+            std::this_thread::yield();
+        }
+        server.start();
+        observer.request_stop();
+        observer.join();
+        CHECK_EQUAL(0U, server.numbers().in_progress);
+        server.stop();
+    }
+}
