--- a/test/mangopulley/limit/admission.cpp
+++ b/test/mangopulley/limit/admission.cpp
@@ -39,7 +39,7 @@
 class moving_clock final : public mangopulley::clock {
 public:
     [[nodiscard]] time_point now() const noexcept override {
-        return this->source.now() + this->readings.fetch_add(1) * 200us;
+        return this->source.now() + this->readings.fetch_add(1) * 7ms;
     }
 
     [[nodiscard]] std::chrono::system_clock::time_point wall() const noexcept override { return this->source.wall(); }
@@ -114,13 +114,16 @@
 TEST(admission, names_a_time_to_wait_in_each_refusal) {
     const moving_clock moving{};
     admission limited{moving, this->shares, this->alerts};
-    this->service.limits = {1000.0, 0U, 0U};
+    // A token takes 100 ms, so that the steps of the clock decide and not the speed of the host. The steps of 7 ms are
+    // no part of it, so that attempts also come just before a token.
+    this->service.limits = {10.0, 0U, 0U};
     int refused{};
+    const auto deadline = moving.now() + 1h;
     const auto end = std::chrono::steady_clock::now() + 5s;
     while (refused < 200 && std::chrono::steady_clock::now() < end) {
         boost::leaf::try_handle_all(
             [&]() -> result<void> {
-                BOOST_LEAF_AUTO(place, limited.admit(this->service, moving.now() + 1h));
+                BOOST_LEAF_AUTO(place, limited.admit(this->service, deadline));
                 static_cast<void>(place);
                 return {};
             },
