--- a/test/integration/catalogue_in_force.cpp
+++ b/test/integration/catalogue_in_force.cpp
@@ -113,25 +113,33 @@
     return chosen;
 }
 
+/*! @brief Waits until instances serve with a version; a failure names what each of them said last. */
+void check_in_force(cluster& fleet, const control_plane::version_watch& watch, const std::vector<std::size_t>& expected,
+                    const std::uint64_t version, const milliseconds limit, const std::string& name) {
+    const bool in_force = watch.wait_in_force(expected, version, limit);
+    std::string message = name + ": " + watch.describe();
+    for (const auto index : in_force ? std::vector<std::size_t>{} : expected) {
+        message += fleet.entry(index).running() ? "" : "ended: " + fleet.entry(index).output();
+    }
+    CHECK_TRUE_TEXT(in_force, message.c_str());
+}
+
 void check_spread(const fault_case& tested) {
     cluster fleet{options()};
     CHECK_TRUE_TEXT(control_plane::start(fleet, catalogue(1)), tested.name);
     const control_plane::version_watch watch{fleet};
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 1U, control_plane::start_limit),
-                    (tested.name + (": " + watch.describe())).c_str());
+    check_in_force(fleet, watch, all_instances(), 1U, control_plane::start_limit, tested.name);
 
     tested.begin(fleet);
     CHECK_TRUE_TEXT(control_plane::apply(fleet, catalogue(2), 1U).exit_code == 0, tested.name);
     const auto accepted = test_clock::now();
-    CHECK_TRUE_TEXT(watch.wait_in_force(tested.serving(), 2U, in_force_limit),
-                    (tested.name + (": " + watch.describe())).c_str());
+    check_in_force(fleet, watch, tested.serving(), 2U, in_force_limit, tested.name);
     if (tested.lasts) {
         const auto past_limit = accepted + in_force_limit + milliseconds{500};
         CHECK_TRUE(standin::wait_until([&] { return test_clock::now() >= past_limit; }, recovery_limit));
     }
     tested.end(fleet);
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 2U, recovery_limit),
-                    (tested.name + (": " + watch.describe())).c_str());
+    check_in_force(fleet, watch, all_instances(), 2U, recovery_limit, tested.name);
     const auto late = watch.find_late(2U, accepted + in_force_limit);
     CHECK_TRUE_TEXT(late.empty(), (tested.name + (": " + late)).c_str());
     const auto regression = watch.find_regression();
@@ -197,7 +205,7 @@
     CHECK_TRUE(accepted);
     CHECK_EQUAL(1U, edits_by(kept, "unlucky"));
     CHECK_TRUE_TEXT(*edit.exit_code == 0 || *edit.exit_code == 5, edit.output.c_str());
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 2U, in_force_limit), watch.describe().c_str());
+    check_in_force(fleet, watch, all_instances(), 2U, in_force_limit, "edit");
     STRCMP_EQUAL("", watch.find_regression().c_str());
 }
 
@@ -228,7 +236,7 @@
     const std::string winning_worth = loser == 0U ? "8" : "7";
     CHECK_TRUE_TEXT(told.find("worth") != std::string::npos && told.find(winning_worth) != std::string::npos,
                     told.c_str());
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 2U, in_force_limit), watch.describe().c_str());
+    check_in_force(fleet, watch, all_instances(), 2U, in_force_limit, "edit");
     CHECK_TRUE(history(fleet).at("version") == 2U);
     STRCMP_EQUAL("", watch.find_regression().c_str());
 }
@@ -239,19 +247,18 @@
     CHECK_TRUE(control_plane::start(fleet, catalogue(1)));
     const control_plane::version_watch watch{fleet};
     CHECK_TRUE(control_plane::apply(fleet, catalogue(2), 1U).exit_code == 0);
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 2U, in_force_limit), watch.describe().c_str());
+    check_in_force(fleet, watch, all_instances(), 2U, in_force_limit, "edit");
     fleet.set_store_faults({{"down", true}});
     const auto refused = control_plane::apply(fleet, catalogue(3), 2U);
     CHECK_TRUE(refused.exit_code.has_value() && *refused.exit_code != 0);
     fleet.entry(affected).kill();
     fleet.start_entry(affected);
     const auto restarted = test_clock::now();
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 2U, control_plane::start_limit),
-                    ("restarted: " + watch.describe()).c_str());
+    check_in_force(fleet, watch, all_instances(), 2U, control_plane::start_limit, "restarted");
     STRCMP_EQUAL("", watch.find_late(2U, restarted).c_str());
     fleet.set_store_faults({{"down", false}});
     CHECK_TRUE(standin::wait_until([&] { return control_plane::apply(fleet, catalogue(3), 2U).exit_code == 0; },
                                    recovery_limit));
-    CHECK_TRUE_TEXT(watch.wait_in_force(all_instances(), 3U, in_force_limit), watch.describe().c_str());
+    check_in_force(fleet, watch, all_instances(), 3U, in_force_limit, "edit");
     STRCMP_EQUAL("", watch.find_regression().c_str());
 }
