Count no foreign load where no other instance has demand; blame no target for one long request

Lagging load reports repeat the lead's own requests, which were taken for those of others and blocked slots; and a late answer flagged its target although the target's other slot had answered in normal time meanwhile, which for exponential times is 3% of all answers.

The bench's oracle held a connection per thread and target, more than the 220 a target accepts, so that control calls timed out; it shares a pool now.

--- a/bench/common/senders.cpp
+++ b/bench/common/senders.cpp
@@ -103,6 +103,30 @@
     return *session;
 }
 
+std::unique_ptr<mangopulley::http_session> connection_pool::take(const std::string& address) {
+    while (true) {
+        std::unique_ptr<mangopulley::http_session> session{};
+        {
+            const std::lock_guard lock{this->guard};
+            auto& sessions = this->idle[address];
+            if (sessions.empty()) {
+                break;
+            }
+            session = std::move(sessions.back());
+            sessions.pop_back();
+        }
+        if (session->usable()) {
+            return session;
+        }
+    }
+    return mangopulley::http_session::connect(address, connect_timeout);
+}
+
+void connection_pool::give_back(const std::string& address, std::unique_ptr<mangopulley::http_session> session) {
+    const std::lock_guard lock{this->guard};
+    this->idle[address].push_back(std::move(session));
+}
+
 request_result entry_sender::send(const arrival& item, const std::size_t number) {
     const auto known = this->addresses.find(item.service, number);
     const auto key = known->order_token + '~' + this->run + '-' + std::to_string(number);
@@ -180,14 +204,15 @@
     request.set("Deadline-Unix-Ms", std::to_string(deadline.time_since_epoch().count()));
     auto outcome = request_result::failed;
     try {
-        auto& session = this->connections.open(address);
-        session.limit_receive(kind.timeout + grace);
-        session.send(request, body);
+        auto session = this->pool.take(address);
+        session->limit_receive(kind.timeout + grace);
+        session->send(request, body);
         Poco::Net::HTTPResponse response{};
-        static_cast<void>(session.receive(response));
+        static_cast<void>(session->receive(response));
+        this->pool.give_back(address, std::move(session));
         outcome = response.getStatus() == 200 ? request_result::answered : request_result::not_run;
     } catch (const Poco::Exception&) {
-        this->connections.drop(address);
+        outcome = request_result::failed;
     }
     this->queues.leave(item.service, target);
     return outcome;
--- a/bench/common/senders.hpp
+++ b/bench/common/senders.hpp
@@ -44,6 +44,18 @@
     std::map<std::size_t, std::shared_ptr<const entry>> entries{};
 };
 
+/*! @brief Kept connections shared by all threads of a run, because a target accepts about 220 of them. */
+class connection_pool {
+public:
+    /*! @brief Takes a usable connection or opens one; throws `Poco::Exception` on failure. */
+    [[nodiscard]] std::unique_ptr<mangopulley::http_session> take(const std::string& address);
+    void give_back(const std::string& address, std::unique_ptr<mangopulley::http_session> session);
+
+private:
+    std::mutex guard{};
+    std::map<std::string, std::vector<std::unique_ptr<mangopulley::http_session>>> idle{};
+};
+
 /*! @brief Kept connections of one thread. */
 class connection_cache {
 public:
@@ -94,16 +106,16 @@
 /*! @brief The limit: goes straight to the target with the shortest true queue. */
 class oracle_sender final : public request_sender {
 public:
-    oracle_sender(const workload& load, target_queues& queues, std::string run_name)
-        : load{load}, queues{queues}, run{std::move(run_name)} {}
+    oracle_sender(const workload& load, target_queues& queues, connection_pool& pool, std::string run_name)
+        : load{load}, queues{queues}, pool{pool}, run{std::move(run_name)} {}
 
     [[nodiscard]] request_result send(const arrival& item, std::size_t number) override;
 
 private:
     const workload& load;
     target_queues& queues;
+    connection_pool& pool;
     std::string run;
-    connection_cache connections{};
 };
 
 } // namespace bench
--- a/bench/common/workload.cpp
+++ b/bench/common/workload.cpp
@@ -82,7 +82,7 @@
              << "\n    limits: {requests_per_second: " << static_cast<int>(2.0 * capacity(load, service))
              << ", concurrent: " << 4U * service.targets << ", waiting: " << 100U * service.targets
              << "}\n    measuring: {probes_per_target_per_second: 2, probes_per_second: " << 2U * service.targets
-             << "}\n    targets: {slots: " << slots_per_target << ", connections: 220}\n    policy: " << policy
+             << "}\n    targets: {slots: " << load.catalogue_slots << ", connections: 220}\n    policy: " << policy
              << "\n    kinds:\n";
         for (const auto& kind : service.kinds) {
             text << "      - {name: " << kind.name << ", idempotent: " << (kind.idempotent ? "true" : "false")
--- a/bench/common/workload.hpp
+++ b/bench/common/workload.hpp
@@ -35,6 +35,9 @@
     /*! @brief Mean time of a request at a target; exponentially distributed. */
     std::chrono::microseconds service_time{10'000};
     std::chrono::milliseconds probe_time{};
+    /*! @brief Slots per target that the catalogue states; one more than the targets have lets one request queue there.
+     */
+    std::size_t catalogue_slots{2U};
 };
 
 /*! @brief Slots of a target, as the users state them. */
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -158,11 +158,12 @@
     }
     bench::address_cache cache{plan.load, instances, item.spread};
     bench::target_queues queues{targets};
+    bench::connection_pool pool{};
     static std::atomic<std::size_t> runs{};
     const auto run_name = "run" + std::to_string(runs.fetch_add(1U));
     const auto make_sender = [&]() -> std::unique_ptr<bench::request_sender> {
         if (item.oracle) {
-            return std::make_unique<bench::oracle_sender>(plan.load, queues, run_name);
+            return std::make_unique<bench::oracle_sender>(plan.load, queues, pool, run_name);
         }
         return std::make_unique<bench::entry_sender>(plan.load, cache, run_name);
     };
@@ -256,9 +257,12 @@
     TCLAP::ValueArg<std::size_t> lag{"", "report-lag-ms", "age of the targets' load reports", false, 100U, "MS", line};
     TCLAP::ValueArg<std::size_t> misleading{"",  "misleading", "targets per service that report no load", false, 1U,
                                             "N", line};
+    TCLAP::ValueArg<std::size_t> slots{
+        "", "catalogue-slots", "slots per target that the catalogue states", false, 2U, "N", line};
     line.parse(argc, argv);
     experiment plan{};
     plan.load = bench::find_workload(workload.getValue());
+    plan.load.catalogue_slots = slots.getValue();
     for (const auto& seed : split(seeds.getValue())) {
         plan.seeds.push_back(std::stoull(seed));
     }
--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -285,6 +285,9 @@
             view.instances = this->members.live().size();
             view.standing = contact && *contact <= internal::share_contact_age;
             this->shares.update(service.name, view);
+            if (const auto runtime = this->services.find(service.name)) {
+                runtime->requests().expect_foreign(view.others > 0.0);
+            }
         }
     }
 
--- a/src/mangopulley/routing/dispatcher.cpp
+++ b/src/mangopulley/routing/dispatcher.cpp
@@ -207,6 +207,11 @@
     this->self->place(this->self->time.now());
 }
 
+void dispatcher::expect_foreign(const bool expected) {
+    const std::lock_guard lock{this->self->guard};
+    this->self->table.expect_foreign(expected);
+}
+
 void dispatcher::notice_draining(const std::string_view target) {
     const std::lock_guard lock{this->self->guard};
     const auto now = this->self->time.now();
--- a/src/mangopulley/routing/dispatcher.hpp
+++ b/src/mangopulley/routing/dispatcher.hpp
@@ -159,6 +159,8 @@
     void configure(const service_entry& entry, std::unique_ptr<policy> strategy);
     /*! @brief Takes over the platform's list of the service's targets. */
     void update(std::span<const target_record> targets);
+    /*! @brief States whether other instances send requests to the targets; see `target_table::expect_foreign`. */
+    void expect_foreign(bool expected);
     /*! @brief Takes in another instance's word that a target drains. */
     void notice_draining(std::string_view target);
     /*! @brief Takes in a load report that came with a probe. */
--- a/src/mangopulley/routing/target_table.cpp
+++ b/src/mangopulley/routing/target_table.cpp
@@ -65,6 +65,8 @@
     std::uint64_t failures{};
     std::uint64_t contradictions{};
     time_point last_used{};
+    /*! @brief When the target last answered in normal time. */
+    time_point last_normal{};
 
     [[nodiscard]] bool overdue(const time_point now) const noexcept {
         return !this->becomes_suspect.empty() && this->becomes_suspect.begin()->first <= now;
@@ -145,6 +147,7 @@
     std::vector<std::unique_ptr<entry>> targets{};
     std::map<std::string, answer_times, std::less<>> kinds{};
     std::vector<std::pair<double, std::size_t>> suspects{};
+    bool foreign_expected{true};
 
     explicit implementation(const target_limits bounds) noexcept : limits{bounds} {}
 
@@ -207,10 +210,13 @@
             target.smoothed = target.answers == 1U ? elapsed : target.smoothed + (elapsed - target.smoothed) / 4;
             target.learn_slowdown(share, now);
             item.times->record(elapsed);
-            if (slow) {
-                target.flag(now);
-            } else {
+            // A late answer of a target that has answered others in normal time meanwhile was merely a long request.
+            const auto patience = (item.suspect_at - item.started) / 2;
+            if (!slow) {
+                target.last_normal = ended;
                 target.clear_suspicion(now);
+            } else if (ended - target.last_normal >= patience) {
+                target.flag(now);
             }
         }
         if (seen.load) {
@@ -261,6 +267,10 @@
 
 target_table::~target_table() = default;
 
+void target_table::expect_foreign(const bool expected) noexcept {
+    this->self->foreign_expected = expected;
+}
+
 void target_table::configure(const target_limits bounds) noexcept {
     this->self->limits = bounds;
 }
@@ -330,7 +340,8 @@
         }
         seen.index = index;
         seen.own = item.own;
-        seen.foreign = static_cast<std::uint32_t>(std::lround(item.foreign_now(now)));
+        seen.foreign =
+            this->self->foreign_expected ? static_cast<std::uint32_t>(std::lround(item.foreign_now(now))) : 0U;
         seen.slots = item.answers < internal::cold_answers ? 1U : this->self->limits.slots;
         seen.reported = item.reported;
         seen.slowdown = item.slowdown_now(now);
--- a/src/mangopulley/routing/target_table.hpp
+++ b/src/mangopulley/routing/target_table.hpp
@@ -136,6 +136,12 @@
     /*! @brief Puts other numbers of the catalogue entry in force. */
     void configure(target_limits bounds) noexcept;
 
+    /**
+     * @brief States whether other instances send requests to the targets.
+     * @param expected False when no other instance reports demand: lagging load reports then only repeat own requests.
+     */
+    void expect_foreign(bool expected) noexcept;
+
     /*! @brief Takes over the platform's list; a target that is gone from it stays until its attempts have ended. */
     void update(std::span<const target_record> targets);
 
