--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -169,35 +169,23 @@
         this->add_gauges();
     }
 
+    /*! @brief Lets a member function of a part answer a type of message. */
+    template <typename Part, typename Handler>
+    void answer(const message_type type, Part& part, const Handler action) {
+        this->peer_port.handle(type, [&part, action](const std::string_view body) { return (part.*action)(body); });
+    }
+
     void connect_peer_messages() {
-        using handler = std::optional<std::string> (heartbeat_service::*)(std::string_view);
-        using const_handler = std::optional<std::string> (heartbeat_service::*)(std::string_view) const;
-        using order_handler = std::optional<std::string> (order_service::*)(std::string_view);
-        const std::vector<std::pair<message_type, handler>> changing{
-            {message_type::heartbeat, &heartbeat_service::on_heartbeat},
-            {message_type::drain_notice, &heartbeat_service::on_drain_notice}};
-        const std::vector<std::pair<message_type, const_handler>> reading{
-            {message_type::member_pull, &heartbeat_service::on_member_pull},
-            {message_type::catalogue_pull, &heartbeat_service::on_catalogue_pull},
-            {message_type::instances_pull, &heartbeat_service::on_instances_pull}};
-        const std::vector<std::pair<message_type, order_handler>> ordering{
-            {message_type::order_note, &order_service::on_note},
-            {message_type::order_seal, &order_service::on_seal},
-            {message_type::order_forward, &order_service::on_forward},
-            {message_type::order_query, &order_service::on_query},
-            {message_type::order_outcomes, &order_service::on_outcomes}};
-        for (const auto& [type, action] : changing) {
-            this->peer_port.handle(
-                type, [this, action](const std::string_view body) { return (this->heartbeats.*action)(body); });
-        }
-        for (const auto& [type, action] : reading) {
-            this->peer_port.handle(
-                type, [this, action](const std::string_view body) { return (this->heartbeats.*action)(body); });
-        }
-        for (const auto& [type, action] : ordering) {
-            this->peer_port.handle(
-                type, [this, action](const std::string_view body) { return (this->orders.*action)(body); });
-        }
+        this->answer(message_type::heartbeat, this->heartbeats, &heartbeat_service::on_heartbeat);
+        this->answer(message_type::member_pull, this->heartbeats, &heartbeat_service::on_member_pull);
+        this->answer(message_type::catalogue_pull, this->heartbeats, &heartbeat_service::on_catalogue_pull);
+        this->answer(message_type::instances_pull, this->heartbeats, &heartbeat_service::on_instances_pull);
+        this->answer(message_type::drain_notice, this->heartbeats, &heartbeat_service::on_drain_notice);
+        this->answer(message_type::order_note, this->orders, &order_service::on_note);
+        this->answer(message_type::order_seal, this->orders, &order_service::on_seal);
+        this->answer(message_type::order_forward, this->orders, &order_service::on_forward);
+        this->answer(message_type::order_query, this->orders, &order_service::on_query);
+        this->answer(message_type::order_outcomes, this->orders, &order_service::on_outcomes);
     }
 
     /*! @brief Puts a new catalogue and instance list in force and states whether callers may be sent here. */
