Keep the catalogue alive while its services are walked; let shed requests move at low traffic

ThreadSanitizer shows the share update reading a catalogue that the follower had freed: the loop's range was a temporary shared pointer, gone before the first step. The probe report had the same fault. orders_under_faults/one_target_sheds failed because load learnt from a shed request was ignored where no other instance has demand, and because the retry budget began empty.

Ruled out: yaml-cpp, log4cxx and the HTTP workers, which the reports do not name.

Measured: before, 15 races in 5 processes over two tests; after, scripts/sanitize thread catalogue_in_force refusals: 10 tests pass, no report. The services' retry budget begins with 10 tokens.

Conclusion: the crash is gone; scripts/sanitize repeats the check.

--- a/src/mangopulley/entry/entry_process.cpp
+++ b/src/mangopulley/entry/entry_process.cpp
@@ -241,7 +241,8 @@
         if (!runtime) {
             return;
         }
-        for (const auto& target : *this->members.targets_of(service)) {
+        const auto listed = this->members.targets_of(service);
+        for (const auto& target : *listed) {
             if (target.address == endpoint) {
                 runtime->requests().report(target.id, load);
             }
@@ -265,7 +266,9 @@
             own[usage.service] = usage.requests_per_second;
         }
         const auto contact = this->proof.age_of_contact();
-        for (const auto& service : this->catalogue.current()->services) {
+        // Held by name: a temporary in the loop's range would be gone before the first step.
+        const auto document = this->catalogue.current();
+        for (const auto& service : document->services) {
             demand_view view{};
             view.own = own[service.name];
             view.others = others[service_hash(service.name)];
--- a/src/mangopulley/entry/service_runtime.hpp
+++ b/src/mangopulley/entry/service_runtime.hpp
@@ -42,7 +42,8 @@
 private:
     std::string service;
     dispatcher queue;
-    retry_budget retries{};
+    /*! @brief Begins with a few tokens: at low traffic a first shed request could not move to another target. */
+    retry_budget retries{0.10, 50U, 10U};
     hedge_budget hedges{};
     call_runner calls;
 };
--- a/src/mangopulley/routing/hedge_budget.hpp
+++ b/src/mangopulley/routing/hedge_budget.hpp
@@ -15,7 +15,8 @@
      * @param share Tokens earned by each first try.
      * @param burst Tokens that can be saved at most.
      */
-    explicit hedge_budget(const double share = 0.05, const std::uint32_t burst = 50U) noexcept : bucket{share, burst} {}
+    explicit hedge_budget(const double share = 0.05, const std::uint32_t burst = 50U) noexcept
+        : bucket{share, burst, 0U} {}
 
     /*! @brief Counts a first try. */
     void first_try() noexcept { this->bucket.first_try(); }
--- a/src/mangopulley/routing/retry_budget.hpp
+++ b/src/mangopulley/routing/retry_budget.hpp
@@ -12,11 +12,14 @@
 class retry_budget {
 public:
     /**
-     * @brief Prepares an empty budget.
+     * @brief Prepares a budget.
      * @param share Tokens earned by each first try.
      * @param burst Tokens that can be saved at most.
+     * @param initial Tokens at the start.
      */
-    explicit retry_budget(const double share = 0.10, const std::uint32_t burst = 50U) noexcept : bucket{share, burst} {}
+    explicit retry_budget(const double share = 0.10, const std::uint32_t burst = 50U,
+                          const std::uint32_t initial = 0U) noexcept
+        : bucket{share, burst, initial} {}
 
     /*! @brief Counts a first try. */
     void first_try() noexcept { this->bucket.first_try(); }
--- a/src/mangopulley/routing/share_bucket.hpp
+++ b/src/mangopulley/routing/share_bucket.hpp
@@ -11,13 +11,14 @@
 /**
  * @brief Token bucket that is filled by first tries rather than by time.
  *
- * It starts empty, so that at any moment the tokens spent are at most the share of the first tries so far; the limit
- * on saved tokens bounds what can be spent at once after a long time without need.
+ * At any moment the tokens spent are at most the share of the first tries so far and the tokens given at the start; the
+ * limit on saved tokens bounds what can be spent at once after a long time without need.
  */
 class share_bucket {
 public:
-    share_bucket(const double share, const std::uint32_t burst) noexcept
-        : gain{static_cast<std::int64_t>(share * token)}, most{static_cast<std::int64_t>(burst) * token} {}
+    share_bucket(const double share, const std::uint32_t burst, const std::uint32_t initial) noexcept
+        : gain{static_cast<std::int64_t>(share * token)}, most{static_cast<std::int64_t>(burst) * token},
+          level{static_cast<std::int64_t>(initial) * token} {}
 
     void first_try() noexcept {
         auto present = this->level.load(std::memory_order_relaxed);
@@ -47,7 +48,7 @@
 
     std::int64_t gain;
     std::int64_t most;
-    std::atomic<std::int64_t> level{};
+    std::atomic<std::int64_t> level;
 };
 
 } // namespace mangopulley::internal
--- a/src/mangopulley/routing/target_table.cpp
+++ b/src/mangopulley/routing/target_table.cpp
@@ -65,6 +65,8 @@
     std::uint64_t failures{};
     std::uint64_t contradictions{};
     time_point last_used{};
+    /*! @brief Whether the estimate of foreign load comes from a request that the target shed. */
+    bool shedding{};
     /*! @brief When the target last answered in normal time. */
     time_point last_normal{};
 
@@ -112,6 +114,7 @@
     void learn_load(const load_report& load, const std::uint32_t own_then, const bool slow, const bool unqueued,
                     const std::uint32_t slots, const time_point now) noexcept {
         this->reported = load.in_flight + load.queued;
+        this->shedding = false;
         auto others = this->reported > own_then ? this->reported - own_then : 0U;
         if (slow && others == 0U) {
             // A slow target that reports no load contradicts what was observed; the former estimate stays.
@@ -234,6 +237,7 @@
             // A target that sheds is full; the estimate decays, so it is tried again some 20 ms later.
             target.foreign = std::max<double>(target.foreign_now(now), this->limits.slots);
             target.foreign_at = now;
+            target.shedding = true;
             break;
         case attempt_outcome::not_sent:
             ++target.failures;
@@ -340,8 +344,8 @@
         }
         seen.index = index;
         seen.own = item.own;
-        seen.foreign =
-            this->self->foreign_expected ? static_cast<std::uint32_t>(std::lround(item.foreign_now(now))) : 0U;
+        const bool estimate_counts = this->self->foreign_expected || item.shedding;
+        seen.foreign = estimate_counts ? static_cast<std::uint32_t>(std::lround(item.foreign_now(now))) : 0U;
         seen.slots = item.answers < internal::cold_answers ? 1U : this->self->limits.slots;
         seen.reported = item.reported;
         seen.slowdown = item.slowdown_now(now);
