Build problems in one place and say that a submission was refused

Cause: the read-through found problem values with ten positional fields each, which no reader can check, and a refusal whose title said that the request was not run although an earlier submission of the key may have been.

Ruled out: designated initialisers throughout, since four of the five cases share the same fields.

--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -60,21 +60,33 @@
     return parsed;
 }
 
+[[nodiscard]] problem make_problem(const int status, std::string outcome, std::string type, std::string title,
+                                   std::string detail) {
+    problem cause{};
+    cause.status = status;
+    cause.outcome = std::move(outcome);
+    cause.type = std::move(type);
+    cause.title = std::move(title);
+    cause.detail = std::move(detail);
+    return cause;
+}
+
 [[nodiscard]] problem not_found(std::string what) {
-    return {404, "not-run", "not-found", "Not found", std::move(what), {}, {}, {}, {}, {}};
+    return make_problem(404, "not-run", "not-found", "Not found", std::move(what));
 }
 
 [[nodiscard]] problem bad_request(std::string detail) {
-    return {400, "not-run", "bad-request", "Bad request", std::move(detail), {}, {}, {}, {}, {}};
+    return make_problem(400, "not-run", "bad-request", "Bad request", std::move(detail));
 }
 
 [[nodiscard]] problem not_run(std::string type, std::string detail) {
-    return {503, "not-run", std::move(type), "The request was not run", std::move(detail), {}, {}, {}, {}, short_wait};
+    auto cause = make_problem(503, "not-run", std::move(type), "The request was not run", std::move(detail));
+    cause.retry_after = short_wait;
+    return cause;
 }
 
 [[nodiscard]] problem unknown(std::string type, std::string detail) {
-    return {504, "unknown", std::move(type), "It is not known whether the request ran", std::move(detail), {}, {}, {},
-            {},  {}};
+    return make_problem(504, "unknown", std::move(type), "It is not known whether the request ran", std::move(detail));
 }
 
 /**
@@ -113,16 +125,8 @@
     const std::string type{mangopulley::to_string(outcome.reason)};
     switch (outcome.state) {
     case order_state::content_mismatch:
-        return {422,
-                "not-run",
-                "content-mismatch",
-                "The key was used before with other content",
-                outcome.detail,
-                {},
-                {},
-                {},
-                {},
-                {}};
+        return make_problem(422, "not-run", "content-mismatch", "The key was used before with other content",
+                            outcome.detail);
     case order_state::not_run: {
         auto cause = not_run(type, outcome.detail);
         cause.order_token = outcome.fresh_token.value_or("");
@@ -349,11 +353,8 @@
     }
 
     [[nodiscard]] http_reply refuse(const refusal_error& error, const std::string& request_id) {
-        problem cause{};
-        cause.status = 429;
-        cause.outcome = "refused";
-        cause.type = "limit-reached";
-        cause.title = "The owner's limit is reached; the request was not run";
+        auto cause = internal::make_problem(429, "refused", "limit-reached",
+                                            "The owner's limit is reached; this submission was not run", {});
         cause.limit = to_string(error.limit);
         cause.detail = "service '" + error.service + "', limit '" + cause.limit + "'";
         cause.retry_after = error.retry_after;
@@ -374,7 +375,7 @@
         return reply;
     }
     if (method != Poco::Net::HTTPRequest::HTTP_GET) {
-        problem cause{405, "not-run", "method", "Method not allowed", method, {}, {}, {}, {}, {}};
+        const auto cause = internal::make_problem(405, "not-run", "method", "Method not allowed", method);
         auto reply = to_reply(cause);
         reply.headers.push_back({"Allow", "GET, POST"});
         return reply;
