--- /dev/null
+++ b/src/mangopulley/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+    return 0;
+}
--- /dev/null
+++ b/src/mangopulley/peer/peer_server.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "../core/kernel.hpp"
+#include "../wire/message.hpp"
+
+namespace mangopulley {
+
+/**
+ * @brief Answers messages of other instances, a thread per connection.
+ *
+ * A handler gets the message fields and returns the reply fields, or nothing when the message is malformed; the
+ * connection is then closed.
+ */
+class peer_server final : public plugin {
+public:
+    using handler = std::function<std::optional<std::string>(std::string_view body)>;
+
+    /**
+     * @brief Prepares the server.
+     * @param address Address to listen on, `ip:port`.
+     */
+    explicit peer_server(std::string address);
+    ~peer_server() override;
+
+    /*! @brief Sets the handler of a message type; only before `start`. */
+    void handle(message_type type, handler action);
+
+    [[nodiscard]] std::string_view name() const noexcept override;
+    void start() override;
+    void stop() noexcept override;
+
+    /*! @brief Bytes of replies sent since the start. */
+    [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/settings/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace mangopulley {
+
+struct settings;
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/store/http_store_client.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "store_client.hpp"
+
+namespace mangopulley {
+
+/*! @brief Client of the store's HTTP interface; a connection per call in progress, kept for later calls. */
+class http_store_client final : public store_client {
+public:
+    /**
+     * @brief Prepares the client; connects at the first call.
+     * @param address Address of the store, `ip:port`.
+     * @param timeout Longest time for a call, in addition to the time a watch waits.
+     */
+    http_store_client(std::string address, milliseconds timeout);
+    ~http_store_client() override;
+
+    [[nodiscard]] result<stored_object> get(std::string_view key) override;
+    [[nodiscard]] result<std::uint64_t> put(std::string_view key, std::string_view value,
+                                            std::uint64_t expected) override;
+    [[nodiscard]] result<std::optional<stored_object>> watch(std::string_view key, std::uint64_t after,
+                                                             milliseconds wait) override;
+    [[nodiscard]] result<std::vector<listed_object>> list(std::string_view prefix) override;
+    [[nodiscard]] result<std::optional<instance_list>> watch_instances(std::uint64_t after, milliseconds wait) override;
+
+    /*! @brief Calls made since the start by kind, for metrics and the capacity page. */
+    struct call_counts {
+        std::uint64_t reads{};
+        std::uint64_t writes{};
+        std::uint64_t watches{};
+    };
+    [[nodiscard]] call_counts counts() const noexcept;
+
+private:
+    struct implementation;
+    std::unique_ptr<implementation> self;
+};
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/store/store_client.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "../core/error.hpp"
+#include "../core/fwd.hpp"
+#include "fwd.hpp"
+
+namespace mangopulley {
+
+/*! @brief Failure of a call to the platform's store. */
+struct store_error {
+    enum class code : std::uint8_t {
+        /*! @brief The store could not be reached or answered an error; a write had no effect. */
+        unavailable,
+        /*! @brief The conditional write met another version; it had no effect. */
+        conflict,
+        /*! @brief No object has that key. */
+        missing,
+        /*! @brief The store's call rate is used up; a write had no effect. */
+        rate_limited,
+        /*! @brief The reply to a write was lost; the write may have taken effect. */
+        effect_unknown,
+        /*! @brief The answer does not follow the store's protocol. */
+        malformed
+    };
+
+    code code{code::unavailable};
+    std::string key{};
+    std::string detail{};
+};
+
+/*! @brief Value of an object with the version that the store gave it. */
+struct stored_object {
+    std::string value{};
+    std::uint64_t version{};
+};
+
+/*! @brief Key and version of an object. */
+struct listed_object {
+    std::string key{};
+    std::uint64_t version{};
+};
+
+/*! @brief Entry of the platform's list of instances. */
+struct instance_record {
+    std::string id{};
+    /*! @brief `entry` or `target`. */
+    std::string role{};
+    /*! @brief Service of a target; empty for entry instances. */
+    std::string service{};
+    /*! @brief `ip:port`; for entry instances the port for messages between instances. */
+    std::string address{};
+    std::string zone{};
+    std::string region{};
+    bool leaving{};
+
+    friend bool operator==(const instance_record&, const instance_record&) = default;
+};
+
+/*! @brief The platform's list of live and leaving instances; it lags behind the facts. */
+struct instance_list {
+    std::uint64_t revision{};
+    std::vector<instance_record> instances{};
+};
+
+/*! @brief Access to the platform's store. All calls block until their time limit at most. */
+class store_client {
+public:
+    store_client() = default;
+    store_client(const store_client&) = delete;
+    store_client& operator=(const store_client&) = delete;
+    virtual ~store_client() = default;
+
+    /**
+     * @brief Reads an object.
+     * @param key Key of the object.
+     * @return The object, or `store_error` (`missing` when there is none).
+     */
+    [[nodiscard]] virtual result<stored_object> get(std::string_view key) = 0;
+
+    /**
+     * @brief Writes an object when its version is still the expected one.
+     * @param key Key of the object.
+     * @param value New value, at most 1 MB.
+     * @param expected Version that the object must have; 0 when it must not exist.
+     * @return The new version, or `store_error`; after `effect_unknown` read back to learn what happened.
+     */
+    [[nodiscard]] virtual result<std::uint64_t> put(std::string_view key, std::string_view value,
+                                                    std::uint64_t expected) = 0;
+
+    /**
+     * @brief Waits for a version of an object above the given one.
+     * @param key Key of the object.
+     * @param after Version already known; 0 when none.
+     * @param wait Longest time to wait.
+     * @return The newer object, nothing when the time passed, or `store_error`.
+     */
+    [[nodiscard]] virtual result<std::optional<stored_object>> watch(std::string_view key, std::uint64_t after,
+                                                                     milliseconds wait) = 0;
+
+    /*! @brief Lists the objects whose keys begin with a prefix. */
+    [[nodiscard]] virtual result<std::vector<listed_object>> list(std::string_view prefix) = 0;
+
+    /**
+     * @brief Waits for a revision of the instance list above the given one.
+     * @param after Revision already known; 0 when none.
+     * @param wait Longest time to wait; zero returns at once.
+     * @return The newer list, nothing when the time passed, or `store_error`.
+     */
+    [[nodiscard]] virtual result<std::optional<instance_list>> watch_instances(std::uint64_t after,
+                                                                               milliseconds wait) = 0;
+};
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/target/http_target_client.cpp
@@ -0,0 +1,261 @@
+#include "http_target_client.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+
+#include "../core/http_session.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+// A kept connection may be closed by the target just as a request is written, which leaves the outcome unknown.
+// Requests that must not run twice use only connections that were in use a moment ago, well within any keep-alive time.
+constexpr auto freshest_idle = std::chrono::seconds{1};
+constexpr auto longest_idle = std::chrono::seconds{20};
+constexpr milliseconds cancel_timeout{50};
+
+struct idle_connection {
+    std::unique_ptr<http_session> session;
+    time_point since;
+};
+
+[[nodiscard]] std::optional<std::uint32_t> field_value(const std::string_view text, const std::string_view name) {
+    const auto begin = text.find(name);
+    if (begin == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto* first = text.data() + begin + name.size();
+    std::uint32_t value{};
+    const auto parsed = std::from_chars(first, text.data() + text.size(), value);
+    return parsed.ec == std::errc{} ? std::optional{value} : std::nullopt;
+}
+
+[[nodiscard]] std::optional<load_report> parse_load(const std::string_view text) {
+    const auto in_flight = field_value(text, "in_flight=");
+    const auto queued = field_value(text, "queue=");
+    if (!in_flight || !queued) {
+        return std::nullopt;
+    }
+    return load_report{*in_flight, *queued};
+}
+
+[[nodiscard]] boost::leaf::error_id fail(const enum target_error::code code, const std::string_view endpoint,
+                                         std::string detail, const bool draining = false) {
+    return boost::leaf::new_error(target_error{code, std::string{endpoint}, std::move(detail), draining});
+}
+
+} // namespace internal
+
+struct http_target_client::implementation : std::enable_shared_from_this<implementation> {
+    const clock& time;
+    milliseconds connect_timeout;
+    std::size_t connections_per_target;
+    std::mutex guard{};
+    std::map<std::string, std::vector<internal::idle_connection>, std::less<>> idle{};
+
+    implementation(const clock& source, const milliseconds timeout, const std::size_t connections) noexcept
+        : time{source}, connect_timeout{timeout}, connections_per_target{connections} {}
+
+    [[nodiscard]] std::unique_ptr<http_session> take(const std::string_view endpoint, const duration longest) {
+        const std::lock_guard lock{this->guard};
+        const auto position = this->idle.find(endpoint);
+        if (position == this->idle.end()) {
+            return nullptr;
+        }
+        auto& connections = position->second;
+        while (!connections.empty()) {
+            // The most recently used connection comes last.
+            auto connection = std::move(connections.back());
+            connections.pop_back();
+            if (this->time.now() - connection.since <= longest && connection.session->usable()) {
+                return std::move(connection.session);
+            }
+        }
+        return nullptr;
+    }
+
+    void give_back(const std::string& endpoint, std::unique_ptr<http_session> session) {
+        const std::lock_guard lock{this->guard};
+        auto& connections = this->idle[endpoint];
+        if (connections.size() < this->connections_per_target) {
+            connections.push_back({std::move(session), this->time.now()});
+        }
+    }
+
+    [[nodiscard]] std::string deadline_text(const time_point deadline) const {
+        const auto left = std::chrono::duration_cast<milliseconds>(deadline - this->time.now());
+        const auto wall = std::chrono::time_point_cast<milliseconds>(this->time.wall()) + left;
+        return std::to_string(wall.time_since_epoch().count());
+    }
+
+    [[nodiscard]] milliseconds left(const time_point deadline) const {
+        return std::chrono::duration_cast<milliseconds>(deadline - this->time.now());
+    }
+};
+
+namespace internal {
+
+class http_exchange final : public exchange {
+public:
+    http_exchange(std::shared_ptr<http_target_client::implementation> owner, std::string endpoint,
+                  std::string request_id, std::unique_ptr<http_session> session)
+        : pool{std::move(owner)}, address{std::move(endpoint)}, id{std::move(request_id)}, connection{
+                                                                                               std::move(session)} {}
+
+    [[nodiscard]] result<target_answer> receive(const time_point deadline) override {
+        const auto left = this->pool->left(deadline);
+        if (left.count() <= 0) {
+            return fail(target_error::code::timed_out, this->address, "deadline passed");
+        }
+        try {
+            this->connection->limit_receive(left);
+            Poco::Net::HTTPResponse response{};
+            target_answer answer{};
+            answer.body = this->connection->receive(response);
+            answer.status = response.getStatus();
+            answer.content_type = response.getContentType();
+            answer.load = parse_load(response.get("Load", ""));
+            answer.draining = response.get("Draining", "0") == "1";
+            auto session = std::move(this->connection);
+            if (response.getKeepAlive() && !answer.draining) {
+                this->pool->give_back(this->address, std::move(session));
+            }
+            if (answer.status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+                response.get("Shed", "") == this->id) {
+                return fail(target_error::code::shed, this->address, "shed by the target", answer.draining);
+            }
+            return answer;
+        } catch (const Poco::TimeoutException& error) {
+            return fail(target_error::code::timed_out, this->address, error.displayText());
+        } catch (const Poco::Net::MessageException& error) {
+            return fail(target_error::code::malformed, this->address, error.displayText());
+        } catch (const Poco::Exception& error) {
+            return fail(target_error::code::broken, this->address, error.displayText());
+        }
+    }
+
+    void cancel() noexcept override {
+        this->connection.reset();
+        try {
+            // Best effort on a connection of its own: the request's own connection may still carry the answer.
+            const auto session = http_session::connect(this->address, cancel_timeout);
+            Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_DELETE, "/work/" + this->id,
+                                           Poco::Net::HTTPMessage::HTTP_1_1};
+            request.setHost(this->address);
+            request.setContentLength(0);
+            request.setKeepAlive(false);
+            session->limit_receive(cancel_timeout);
+            session->send(request, {});
+            Poco::Net::HTTPResponse response{};
+            static_cast<void>(session->receive(response));
+        } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+            // The target may be gone; the caller has its answer from elsewhere.
+        }
+    }
+
+    [[nodiscard]] Poco::Net::StreamSocket& socket() noexcept { return this->connection->socket(); }
+
+private:
+    std::shared_ptr<http_target_client::implementation> pool;
+    std::string address;
+    std::string id;
+    std::unique_ptr<http_session> connection;
+};
+
+} // namespace internal
+
+http_target_client::http_target_client(const clock& time, const milliseconds connect_timeout,
+                                       const std::size_t connections_per_target)
+    : self{std::make_shared<implementation>(time, connect_timeout, connections_per_target)} {}
+
+http_target_client::~http_target_client() = default;
+
+result<std::unique_ptr<exchange>> http_target_client::begin(const std::string_view endpoint,
+                                                            const target_request& request) {
+    const std::string address{endpoint};
+    std::unique_ptr<http_session> session{};
+    try {
+        session = this->self->take(endpoint, request.idempotent ? internal::longest_idle : internal::freshest_idle);
+        if (!session) {
+            const auto limit = std::min(this->self->connect_timeout, this->self->left(request.deadline));
+            session = http_session::connect(address, std::max(limit, milliseconds{1}));
+        }
+    } catch (const Poco::Exception& error) {
+        return internal::fail(target_error::code::not_sent, endpoint, error.displayText());
+    }
+    try {
+        Poco::Net::HTTPRequest message{Poco::Net::HTTPRequest::HTTP_POST, "/work/" + request.kind,
+                                       Poco::Net::HTTPMessage::HTTP_1_1};
+        message.setHost(address);
+        message.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        message.setContentType(request.content_type);
+        message.set("Request-Id", request.request_id);
+        message.set("Deadline-Unix-Ms", this->self->deadline_text(request.deadline));
+        if (!request.traceparent.empty()) {
+            message.set("traceparent", request.traceparent);
+        }
+        session->send(message, request.body);
+    } catch (const Poco::Exception& error) {
+        return internal::fail(target_error::code::broken, endpoint, error.displayText());
+    }
+    return std::unique_ptr<exchange>{
+        std::make_unique<internal::http_exchange>(this->self, address, request.request_id, std::move(session))};
+}
+
+std::optional<std::size_t> http_target_client::wait_any(const std::span<exchange* const> open, const time_point until) {
+    Poco::Net::Socket::SocketList readable{};
+    Poco::Net::Socket::SocketList writable{};
+    Poco::Net::Socket::SocketList failed{};
+    for (auto* item : open) {
+        readable.push_back(static_cast<internal::http_exchange*>(item)->socket());
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::microseconds>(until - this->self->time.now());
+    const Poco::Timespan wait{std::max<Poco::Timespan::TimeDiff>(left.count(), 0)};
+    if (Poco::Net::Socket::select(readable, writable, failed, wait) <= 0 || readable.empty()) {
+        return std::nullopt;
+    }
+    for (std::size_t index = 0U; index < open.size(); ++index) {
+        if (static_cast<internal::http_exchange*>(open[index])->socket() == readable.front()) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+result<load_report> http_target_client::probe(const std::string_view endpoint, const time_point deadline) {
+    const std::string address{endpoint};
+    try {
+        auto session = this->self->take(endpoint, internal::longest_idle);
+        if (!session) {
+            session = http_session::connect(address, this->self->connect_timeout);
+        }
+        Poco::Net::HTTPRequest message{Poco::Net::HTTPRequest::HTTP_GET, "/load", Poco::Net::HTTPMessage::HTTP_1_1};
+        message.setHost(address);
+        message.setContentLength(0);
+        message.set("Deadline-Unix-Ms", this->self->deadline_text(deadline));
+        session->limit_receive(this->self->left(deadline));
+        session->send(message, {});
+        Poco::Net::HTTPResponse response{};
+        static_cast<void>(session->receive(response));
+        const auto report = internal::parse_load(response.get("Load", ""));
+        if (!report) {
+            return internal::fail(target_error::code::malformed, endpoint, "no load in the answer");
+        }
+        if (response.getKeepAlive()) {
+            this->self->give_back(address, std::move(session));
+        }
+        return *report;
+    } catch (const Poco::Exception& error) {
+        return internal::fail(target_error::code::broken, endpoint, error.displayText());
+    }
+}
+
+} // namespace mangopulley
