--- a/src/mangopulley/core/error.hpp
+++ b/src/mangopulley/core/error.hpp
@@ -33,6 +33,9 @@
     [[nodiscard]] bool request_not_sent() const noexcept { return this->code == code::connect_failed; }
 };
 
+/*! @brief Name of the codes of `network_error`, whose member of the same name hides them. */
+using network_error_code = enum network_error::code;
+
 /*! @brief Invalid text in a document, a header or a message. */
 struct input_error {
     std::string source{};
--- /dev/null
+++ b/src/mangopulley/gateway/document_codec.cpp
@@ -0,0 +1,169 @@
+#include "document_codec.hpp"
+
+#include "../wire/message.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr std::uint32_t most_records = 100'000U;
+constexpr std::uint32_t target_fields = 8U;
+constexpr std::uint32_t route_fields = 9U;
+constexpr std::uint32_t part_fields = 2U;
+constexpr std::uint32_t service_fields = 3U;
+constexpr std::uint32_t limit_fields = 4U;
+constexpr std::uint32_t list_fields = 2U;
+constexpr std::uint32_t config_fields = 5U;
+
+void write_duration(message_writer& writer, const duration time) {
+    writer.number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
+}
+
+[[nodiscard]] duration read_duration(message_reader& reader) {
+    return std::chrono::microseconds{static_cast<std::int64_t>(reader.number())};
+}
+
+template <typename Record, typename Write>
+void write_records(message_writer& writer, const std::vector<Record>& records, Write write) {
+    writer.array(static_cast<std::uint32_t>(records.size()));
+    for (const auto& record : records) {
+        write(writer, record);
+    }
+}
+
+template <typename Record, typename Read>
+void read_records(message_reader& reader, std::vector<Record>& records, Read read) {
+    const auto count = reader.array(most_records);
+    for (std::uint32_t index = 0U; index < count && reader.valid(); ++index) {
+        records.push_back(read(reader));
+    }
+}
+
+void write_target(message_writer& writer, const listed_target& target) {
+    writer.array(target_fields).text(target.id).number(target.born).text(target.service).text(target.endpoint);
+    writer.text(target.zone).number(target.slots).boolean(target.leaving);
+    write_duration(writer, target.warm_up);
+}
+
+[[nodiscard]] listed_target read_target(message_reader& reader) {
+    listed_target target{};
+    reader.array(target_fields);
+    target.id = reader.text();
+    target.born = reader.number();
+    target.service = reader.text();
+    target.endpoint = reader.text();
+    target.zone = reader.text();
+    target.slots = static_cast<std::uint32_t>(reader.number());
+    target.leaving = reader.boolean();
+    target.warm_up = read_duration(reader);
+    return target;
+}
+
+void write_part(message_writer& writer, const split_part& part) {
+    writer.array(part_fields).text(part.service).real(part.weight);
+}
+
+[[nodiscard]] split_part read_part(message_reader& reader) {
+    split_part part{};
+    reader.array(part_fields);
+    part.service = reader.text();
+    part.weight = reader.real();
+    return part;
+}
+
+void write_route(message_writer& writer, const route& item) {
+    writer.array(route_fields).text(item.name).text(item.host).text(item.prefix).boolean(item.idempotent);
+    write_duration(writer, item.time_limit);
+    write_duration(writer, item.latency_goal);
+    writer.number(item.priority).number(item.attempts);
+    write_records(writer, item.parts, write_part);
+}
+
+[[nodiscard]] route read_route(message_reader& reader) {
+    route item{};
+    reader.array(route_fields);
+    item.name = reader.text();
+    item.host = reader.text();
+    item.prefix = reader.text();
+    item.idempotent = reader.boolean();
+    item.time_limit = read_duration(reader);
+    item.latency_goal = read_duration(reader);
+    item.priority = static_cast<std::uint32_t>(reader.number());
+    item.attempts = static_cast<std::uint32_t>(reader.number());
+    read_records(reader, item.parts, read_part);
+    return item;
+}
+
+void write_service(message_writer& writer, const service_record& item) {
+    writer.array(service_fields).text(item.name).text(item.health_path).number(item.most_connections);
+}
+
+[[nodiscard]] service_record read_service(message_reader& reader) {
+    service_record item{};
+    reader.array(service_fields);
+    item.name = reader.text();
+    item.health_path = reader.text();
+    item.most_connections = static_cast<std::uint32_t>(reader.number());
+    return item;
+}
+
+void write_limits(message_writer& writer, const caller_limits& limits) {
+    writer.array(limit_fields).number(limits.head_bytes).number(limits.body_bytes);
+    write_duration(writer, limits.head_time);
+    write_duration(writer, limits.idle_time);
+}
+
+[[nodiscard]] caller_limits read_limits(message_reader& reader) {
+    caller_limits limits{};
+    reader.array(limit_fields);
+    limits.head_bytes = reader.number();
+    limits.body_bytes = reader.number();
+    limits.head_time = read_duration(reader);
+    limits.idle_time = read_duration(reader);
+    return limits;
+}
+
+} // namespace
+
+} // namespace internal
+
+std::string encode_targets(const target_list& list) {
+    message_writer writer{};
+    writer.array(internal::list_fields).number(list.revision);
+    internal::write_records(writer, list.targets, internal::write_target);
+    return writer.take();
+}
+
+std::optional<target_list> decode_targets(const std::string_view bytes) {
+    message_reader reader{bytes};
+    target_list list{};
+    reader.array(internal::list_fields);
+    list.revision = reader.number();
+    internal::read_records(reader, list.targets, internal::read_target);
+    return reader.valid() && reader.finished() ? std::optional{std::move(list)} : std::nullopt;
+}
+
+std::string encode_config(const routing_config& config) {
+    message_writer writer{};
+    writer.array(internal::config_fields).number(config.version).number(config.revision);
+    internal::write_records(writer, config.routes, internal::write_route);
+    internal::write_records(writer, config.services, internal::write_service);
+    internal::write_limits(writer, config.limits);
+    return writer.take();
+}
+
+std::optional<routing_config> decode_config(const std::string_view bytes) {
+    message_reader reader{bytes};
+    routing_config config{};
+    reader.array(internal::config_fields);
+    config.version = reader.number();
+    config.revision = reader.number();
+    internal::read_records(reader, config.routes, internal::read_route);
+    internal::read_records(reader, config.services, internal::read_service);
+    config.limits = internal::read_limits(reader);
+    return reader.valid() && reader.finished() ? std::optional{std::move(config)} : std::nullopt;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/document_codec.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "listed_target.hpp"
+#include "routing_config.hpp"
+
+namespace mangopulley {
+
+/*! @brief Encodes a list of targets for another instance. */
+[[nodiscard]] std::string encode_targets(const target_list& list);
+/*! @brief Decodes a list of targets; nothing when the bytes are none. */
+[[nodiscard]] std::optional<target_list> decode_targets(std::string_view bytes);
+/*! @brief Encodes a routing configuration for another instance. */
+[[nodiscard]] std::string encode_config(const routing_config& config);
+/*! @brief Decodes a routing configuration; nothing when the bytes are none. */
+[[nodiscard]] std::optional<routing_config> decode_config(std::string_view bytes);
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/forwarded_head.cpp
@@ -0,0 +1,111 @@
+#include "forwarded_head.hpp"
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+#include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
+
+#include "../http/field_names.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+// RFC 9110, section 7.6.1: fields that concern one connection only.
+const std::array<std::string, 8U> connection_fields{field_name::connection,
+                                                    field_name::keep_alive,
+                                                    "Proxy-Connection",
+                                                    "Proxy-Authenticate",
+                                                    "Proxy-Authorization",
+                                                    "TE",
+                                                    "Trailer",
+                                                    "Upgrade"};
+
+/*! @brief Names that the Connection fields of a message list. */
+[[nodiscard]] std::vector<std::string> listed_in_connection(const Poco::Net::MessageHeader& head) {
+    std::vector<std::string> names{};
+    for (const auto& [name, value] : head) {
+        if (Poco::icompare(name, field_name::connection) == 0) {
+            const Poco::StringTokenizer tokens{
+                value, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY};
+            names.insert(names.end(), tokens.begin(), tokens.end());
+        }
+    }
+    return names;
+}
+
+[[nodiscard]] bool names_field(const std::string& name, const auto& names) {
+    return std::any_of(std::begin(names), std::end(names),
+                       [&name](const std::string& other) { return Poco::icompare(name, other) == 0; });
+}
+
+void append_field(std::string& head, const std::string_view name, const std::string_view value) {
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
+[[nodiscard]] bool is_framing(const std::string& name) {
+    return Poco::icompare(name, field_name::content_length) == 0 ||
+           Poco::icompare(name, field_name::transfer_encoding) == 0;
+}
+
+} // namespace
+
+} // namespace internal
+
+std::string forwarded_request(const http_request& request, const dialect& speech, const listed_target& target,
+                              const duration time_left) {
+    std::string head{};
+    constexpr std::size_t usual_head = 512U;
+    head.reserve(usual_head + request.body.size());
+    head.append(request.head.getMethod()).append(" ").append(request.head.getURI()).append(" HTTP/1.1\r\n");
+    const auto listed = internal::listed_in_connection(request.head);
+    bool framed = false;
+    for (const auto& [name, value] : request.head) {
+        framed = framed || internal::is_framing(name);
+        if (internal::is_framing(name) || internal::names_field(name, internal::connection_fields) ||
+            internal::names_field(name, listed) || Poco::icompare(name, field_name::expect) == 0 ||
+            speech.sets_field(name)) {
+            continue;
+        }
+        internal::append_field(head, name, value);
+    }
+    if (framed) {
+        internal::append_field(head, field_name::content_length, std::to_string(request.body.size()));
+    }
+    speech.write_fields(head, target, time_left);
+    head.append("\r\n");
+    head.append(request.body);
+    return head;
+}
+
+std::string forwarded_response_head(const http_response& response, const bool bodiless) {
+    std::string head{"HTTP/1.1 "};
+    head.append(std::to_string(response.status())).append(" ").append(response.head.getReason()).append("\r\n");
+    const auto listed = internal::listed_in_connection(response.head);
+    for (const auto& [name, value] : response.head) {
+        const bool framing = internal::is_framing(name) && !bodiless;
+        if (!framing && !internal::names_field(name, internal::connection_fields) &&
+            !internal::names_field(name, listed)) {
+            internal::append_field(head, name, value);
+        }
+    }
+    return head;
+}
+
+std::string health_request(const std::string_view path, const std::string_view endpoint) {
+    std::string text{"GET "};
+    text.append(path).append(" HTTP/1.1\r\n");
+    internal::append_field(text, field_name::host, endpoint);
+    text.append("\r\n");
+    return text;
+}
+
+bool is_bodiless(const http_request& request) {
+    return request.head.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/fwd.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+namespace mangopulley {
+
+class caller_port;
+class channel_pool;
+class dialect;
+class fleet;
+class forwarder;
+class gateway_process;
+class platform_client;
+class platform_follower;
+class repeat_budget;
+class request_scheduler;
+class route_table;
+class target_pool;
+struct listed_target;
+struct load_reading;
+struct routing_config;
+struct target_list;
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -0,0 +1,409 @@
+#include "gateway_process.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <utility>
+#include <vector>
+
+#include <Poco/Exception.h>
+#include <nlohmann/json.hpp>
+
+#include "../core/incarnation_id.hpp"
+#include "../core/registry.hpp"
+#include "../loop/datagram_port.hpp"
+#include "../observe/decision_log.hpp"
+#include "../observe/metrics.hpp"
+#include "caller_port.hpp"
+#include "document_codec.hpp"
+#include "fleet.hpp"
+#include "forwarder.hpp"
+#include "peer_fetcher.hpp"
+#include "platform_adapter.hpp"
+#include "platform_follower.hpp"
+#include "route_table.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr double most_request_lines_per_second = 300.0;
+constexpr std::size_t addresses_per_zone = 2U;
+// Short enough that callers leave a stopping instance before it ends, also those that keep a list three times as long.
+constexpr duration list_lifetime{std::chrono::milliseconds{1'300}};
+constexpr duration peer_fetch_timeout{std::chrono::milliseconds{500}};
+constexpr duration settings_period{std::chrono::seconds{1}};
+constexpr duration expiry_period{std::chrono::milliseconds{100}};
+constexpr duration signal_period{std::chrono::milliseconds{40}};
+// A stopping instance keeps taking requests of callers that hold an old list; the rest of the time is for answers.
+constexpr double serving_share_of_stop = 0.75;
+constexpr double answering_share_of_stop = 0.93;
+// Part of the fleet's budget of probes that is given out; the rest covers instances that disagree on their number.
+constexpr double usable_part_of_probes = 0.5;
+// Several zones name instances of their own, so that about this many per zone send probes at once.
+constexpr std::size_t probing_instances_per_zone = 3U;
+
+[[nodiscard]] std::string ip_of(const std::string& endpoint) {
+    return endpoint.substr(0U, endpoint.rfind(':'));
+}
+
+[[nodiscard]] http_reply text_reply(const int status, std::string text) {
+    http_reply reply{};
+    reply.status = status;
+    reply.content_type = "text/plain";
+    reply.body = std::move(text);
+    return reply;
+}
+
+} // namespace
+
+} // namespace internal
+
+struct gateway_process::implementation {
+    gateway_settings configuration;
+    const clock& time;
+    std::function<std::string()> read_settings;
+    std::uint64_t incarnation{incarnation_id::generate().value()};
+    std::string settings_text{};
+    std::atomic<bool> stop_requested{};
+    std::atomic<bool> reload_requested{};
+    bool stopping{};
+    bool ready_before{};
+
+    event_loop loop{this->time};
+    decision_log log{"gateway", this->time, internal::most_request_lines_per_second};
+    metrics numbers{this->time};
+    platform_adapter platform;
+    route_table routes{};
+    forwarder requests{{this->loop, *this->platform.speech, this->routes, this->numbers, this->log},
+                       this->choice_rule(),
+                       scheduling_rule{},
+                       forwarding_rule{}};
+    peer_fetcher documents{this->loop, this->configuration.peer_port, internal::peer_fetch_timeout};
+    datagram_port datagrams{this->loop, this->peer_endpoint(this->configuration.ip),
+                            [this](std::string_view, const std::string_view bytes) { this->members.receive(bytes); }};
+    fleet members{this->loop, fleet_rule{},
+                  [this](const std::string& ip, const std::string_view bytes) {
+                      this->datagrams.send(this->peer_endpoint(ip), bytes);
+                  },
+                  [this](const peer_record& record) { this->follower.hear(record); }};
+    platform_follower follower{this->follower_parts(), follower_rule{}};
+    caller_port callers{this->loop, this->configuration.caller_endpoint, [this] { return this->caller_bounds(); },
+                        [this](const auto& exchange) { this->requests.handle(exchange); }};
+    caller_port readiness{this->loop, this->configuration.readiness_endpoint, [] { return http_limits{}; },
+                          [this](const auto& exchange) { this->answer_readiness(*exchange); }};
+    caller_port directory{this->loop, this->configuration.directory_endpoint, [] { return http_limits{}; },
+                          [this](const auto& exchange) { this->answer_lookup(*exchange); }};
+    caller_port operators{this->loop, this->configuration.operator_endpoint, [] { return http_limits{}; },
+                          [this](const auto& exchange) { this->answer_operator(*exchange); }};
+    caller_port peers{this->loop, this->peer_endpoint(this->configuration.ip), [] { return http_limits{}; },
+                      [this](const auto& exchange) { this->answer_peer(*exchange); }};
+
+    implementation(gateway_settings values, const clock& source, std::function<std::string()> reader,
+                   const platform_factory& factory)
+        : configuration{std::move(values)}, time{source},
+          read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
+        this->settings_text = this->read_settings();
+        this->members.set_self([this] { return this->describe_self(); });
+        this->apply_settings();
+    }
+
+    [[nodiscard]] std::string peer_endpoint(const std::string& ip) const {
+        return ip + ':' + std::to_string(this->configuration.peer_port);
+    }
+
+    [[nodiscard]] target_choice_rule choice_rule() const {
+        target_choice_rule rule{};
+        rule.own_zone = this->configuration.zone;
+        return rule;
+    }
+
+    [[nodiscard]] platform_follower::parts follower_parts() {
+        return {this->loop,
+                *this->platform.store,
+                this->log,
+                [this] { return this->place_in_line(); },
+                [this](const std::string& ip, const std::string& path, std::function<void(std::string &&)> done) {
+                    this->documents.fetch(ip, path, std::move(done));
+                },
+                [this] { this->members.announce(); },
+                [this](const routing_config& config) { this->routes.apply(config); },
+                [this](const target_list& list) { this->requests.update_targets(list); }};
+    }
+
+    // Membership
+
+    [[nodiscard]] bool ready() const { return !this->stopping && this->follower.informed(); }
+
+    [[nodiscard]] peer_record describe_self() const {
+        peer_record record{};
+        record.incarnation = this->incarnation;
+        record.name = this->configuration.instance_name;
+        record.ip = this->configuration.ip;
+        record.zone = this->configuration.zone;
+        record.region = this->configuration.region;
+        record.caller_endpoint = this->configuration.caller_endpoint;
+        record.ready = this->ready();
+        this->follower.describe(record);
+        return record;
+    }
+
+    /*! @brief Returns the place among the live instances; the last names read, as the first are named to callers. */
+    [[nodiscard]] std::size_t place_in_line() const {
+        std::size_t place = 0U;
+        for (const auto& item : this->members.live()) {
+            place += item.record.name > this->configuration.instance_name ? 1U : 0U;
+        }
+        return place;
+    }
+
+    // Calls from outside
+
+    [[nodiscard]] http_limits caller_bounds() const {
+        const auto& limits = this->routes.current()->limits;
+        http_limits bounds{};
+        bounds.longest_head = limits.head_bytes;
+        bounds.longest_body = limits.body_bytes;
+        bounds.accept_chunked = true;
+        bounds.longest_receive = std::chrono::ceil<milliseconds>(limits.head_time);
+        bounds.longest_idle = std::chrono::ceil<milliseconds>(limits.idle_time);
+        return bounds;
+    }
+
+    void answer_readiness(caller_exchange& exchange) {
+        const bool asked = this->platform.speech->asks_readiness(exchange.request());
+        exchange.answer(internal::text_reply(!asked ? 404 : this->ready() ? 200 : 503, ""));
+    }
+
+    void answer_lookup(caller_exchange& exchange) {
+        const auto query = this->platform.speech->read_address_query(exchange.request());
+        if (!query) {
+            exchange.answer(internal::text_reply(404, ""));
+            return;
+        }
+        std::vector<peer_record> usable{};
+        if (this->ready()) {
+            usable.push_back(this->describe_self());
+        }
+        for (auto& item : this->members.live()) {
+            if (item.record.ready) {
+                usable.push_back(std::move(item.record));
+            }
+        }
+        const auto chosen =
+            choose_addresses(usable, query->host, query->region, query->zone, internal::addresses_per_zone);
+        if (chosen.empty()) {
+            exchange.answer(internal::text_reply(503, ""));
+            return;
+        }
+        exchange.answer(this->platform.speech->write_addresses(
+            chosen, std::min(internal::list_lifetime, this->configuration.longest_lifetime)));
+    }
+
+    void answer_operator(caller_exchange& exchange) {
+        const auto& path = exchange.request().path;
+        if (path == "/metrics") {
+            auto reply = internal::text_reply(200, this->numbers.text());
+            reply.content_type = "text/plain; version=0.0.4";
+            exchange.answer(reply);
+        } else if (path == "/state") {
+            http_reply reply{};
+            reply.body = this->describe().dump();
+            exchange.answer(reply);
+        } else {
+            exchange.answer(internal::text_reply(404, "paths: /state /metrics\n"));
+        }
+    }
+
+    void answer_peer(caller_exchange& exchange) {
+        http_reply reply{};
+        reply.content_type = "application/msgpack";
+        if (exchange.request().path == "/config" && this->follower.config().revision > 0U) {
+            reply.body = encode_config(this->follower.config());
+        } else if (exchange.request().path == "/targets" && this->follower.informed()) {
+            reply.body = encode_targets(this->follower.listed());
+        } else {
+            reply.status = 404;
+        }
+        exchange.answer(reply);
+    }
+
+    [[nodiscard]] nlohmann::json describe() const {
+        auto live = nlohmann::json::array();
+        for (const auto& item : this->members.live()) {
+            live.push_back({{"name", item.record.name},
+                            {"ip", item.record.ip},
+                            {"ready", item.record.ready},
+                            {"config_revision", item.record.config_revision}});
+        }
+        return {{"instance", this->configuration.instance_name},
+                {"incarnation", this->incarnation},
+                {"ready", this->ready()},
+                {"stopping", this->stopping},
+                {"config_version", this->follower.config().version},
+                {"config_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.config_age()).count()},
+                {"targets_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.targets_age()).count()},
+                {"platform_calls", this->platform.store->calls()},
+                {"caller_connections", this->callers.connections()},
+                {"log_lines_dropped", this->log.dropped()},
+                {"peers", std::move(live)},
+                {"forwarding", this->requests.describe()}};
+    }
+
+    // Settings
+
+    void apply_settings() {
+        std::vector<std::string> seeds{};
+        for (const auto& endpoint : this->configuration.seeds) {
+            seeds.push_back(internal::ip_of(endpoint));
+        }
+        this->members.set_seeds(std::move(seeds));
+        this->share_budgets();
+    }
+
+    /*! @brief Gives this instance its part of the budgets that all instances share. */
+    void share_budgets() {
+        const auto live = this->members.live();
+        std::vector<std::string> zones{this->configuration.zone};
+        for (const auto& item : live) {
+            if (std::find(zones.begin(), zones.end(), item.record.zone) == zones.end()) {
+                zones.push_back(item.record.zone);
+            }
+        }
+        const auto probing = std::min(live.size() + 1U, zones.size() * internal::probing_instances_per_zone);
+        this->requests.configure(
+            {this->configuration.repeat_ratio, this->configuration.repeat_slack, this->configuration.repeat_window},
+            live.size() + 1U,
+            this->configuration.probes_per_target * internal::usable_part_of_probes / static_cast<double>(probing));
+    }
+
+    void reload() {
+        auto text = this->read_settings();
+        if (text.empty() || text == this->settings_text) {
+            return;
+        }
+        this->settings_text = std::move(text);
+        boost::leaf::try_handle_all(
+            [this]() -> result<void> {
+                BOOST_LEAF_AUTO(parsed, parse_gateway_settings("settings", this->settings_text));
+                this->configuration.seeds = parsed.seeds;
+                this->configuration.repeat_ratio = parsed.repeat_ratio;
+                this->configuration.repeat_slack = parsed.repeat_slack;
+                this->configuration.repeat_window = parsed.repeat_window;
+                this->configuration.probes_per_target = parsed.probes_per_target;
+                this->configuration.stop_time = parsed.stop_time;
+                this->configuration.longest_lifetime = parsed.longest_lifetime;
+                this->apply_settings();
+                this->log.change("settings_reloaded", {{"seeds", std::to_string(parsed.seeds.size())}});
+                return {};
+            },
+            [this](const input_error& error) {
+                this->log.change("settings_rejected", {{"field", error.field},
+                                                       {"line", std::to_string(error.line)},
+                                                       {"found", error.found},
+                                                       {"expected", error.expected}});
+            },
+            [this] {
+                this->log.change("settings_rejected", {{"field", "unknown"}});
+            });
+    }
+
+    // Life
+
+    void watch_signals() {
+        if (this->reload_requested.exchange(false)) {
+            this->log.change("reload_requested", {});
+            this->reload();
+        }
+        if (this->stop_requested.load() && !this->stopping) {
+            this->begin_stop();
+        }
+        if (this->ready() != this->ready_before) {
+            this->ready_before = this->ready();
+            this->log.change("readiness_changed", {{"ready", this->ready_before ? "yes" : "no"}});
+            this->members.announce();
+        }
+    }
+
+    void begin_stop() {
+        this->stopping = true;
+        this->log.change("stop_requested", {{"open_requests", std::to_string(this->requests.open())},
+                                            {"connections", std::to_string(this->callers.connections())}});
+        this->members.announce();
+        this->callers.close_after_answers();
+        const auto part = [this](const double share) {
+            return std::chrono::duration_cast<duration>(this->configuration.stop_time * share);
+        };
+        this->loop.after(part(internal::serving_share_of_stop), [this] {
+            this->callers.close_idle();
+            this->loop.every(internal::signal_period, [this] {
+                this->callers.close_idle();
+                if (this->requests.open() == 0U && this->callers.busy() == 0U) {
+                    this->loop.stop();
+                }
+            });
+        });
+        this->loop.after(part(internal::answering_share_of_stop), [this] { this->loop.stop(); });
+    }
+
+    void run() {
+        this->log.change("started", {{"instance", this->configuration.instance_name},
+                                     {"incarnation", std::to_string(this->incarnation)},
+                                     {"callers", this->configuration.caller_endpoint},
+                                     {"store", this->configuration.store_endpoint}});
+        this->members.start();
+        this->follower.start();
+        this->loop.every(internal::signal_period, [this] { this->watch_signals(); });
+        this->loop.every(internal::settings_period, [this] {
+            this->reload();
+            this->share_budgets();
+        });
+        this->loop.every(internal::expiry_period, [this] {
+            for (auto* port : {&this->callers, &this->readiness, &this->directory, &this->operators, &this->peers}) {
+                port->expire();
+            }
+        });
+        this->loop.run();
+        this->log.change("stopped", {{"open_requests", std::to_string(this->requests.open())}});
+    }
+};
+
+namespace internal {
+
+namespace {
+
+[[nodiscard]] const platform_factory& find_platform(const std::string& name) {
+    const auto* factory = registry<platform_factory>::instance().find(name);
+    if (factory == nullptr) {
+        throw Poco::NotFoundException{"no platform of that name", name};
+    }
+    return *factory;
+}
+
+} // namespace
+
+} // namespace internal
+
+gateway_process::gateway_process(gateway_settings configuration, const clock& time,
+                                 std::function<std::string()> read_settings)
+    : self{} {
+    const auto& factory = internal::find_platform(configuration.platform);
+    this->self = std::make_unique<implementation>(std::move(configuration), time, std::move(read_settings), factory);
+}
+
+gateway_process::~gateway_process() = default;
+
+void gateway_process::run() {
+    this->self->run();
+}
+
+void gateway_process::request_stop() noexcept {
+    this->self->stop_requested = true;
+}
+
+void gateway_process::request_reload() noexcept {
+    this->self->reload_requested = true;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/gateway_settings.cpp
@@ -0,0 +1,138 @@
+#include "gateway_settings.hpp"
+
+#include <array>
+
+#include "../catalogue/document.hpp"
+#include "../core/endpoint.hpp"
+#include "../core/yaml_value.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr yaml_limits gateway_yaml_limits{65'536U, 1'000U, 8U};
+constexpr std::uint64_t most_port = 65'535U;
+constexpr double longest_bound_s = 3'600.0;
+constexpr double most_slack = 1'000'000.0;
+constexpr std::size_t most_seeds = 64U;
+constexpr std::array<std::string_view, 5U> level_names{"trace", "debug", "info", "warn", "error"};
+
+template <std::string gateway_settings::*Member>
+[[nodiscard]] result<void> read_endpoint(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_ASSIGN(target.*Member, value.text(is_endpoint, endpoint_form));
+    return {};
+}
+
+template <std::string gateway_settings::*Member>
+[[nodiscard]] result<void> read_name(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_ASSIGN(target.*Member, value.text(is_identifier, identifier_form));
+    return {};
+}
+
+template <duration gateway_settings::*Member>
+[[nodiscard]] result<void> read_seconds(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_AUTO(seconds, value.real(0.0, longest_bound_s));
+    target.*Member = std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
+    return {};
+}
+
+template <double gateway_settings::*Member>
+[[nodiscard]] result<void> read_real(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_ASSIGN(target.*Member, value.real(0.0, most_slack));
+    return {};
+}
+
+[[nodiscard]] result<void> read_own_ip(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_ASSIGN(target.ip, value.text(is_ip_address, "an IPv4 address of one machine, such as 10.0.0.1"));
+    return {};
+}
+
+[[nodiscard]] result<void> read_gateway_instance(const yaml_value& value, gateway_settings& target) {
+    static constexpr std::array<yaml_field<gateway_settings>, 4U> fields{
+        {{"name", true, read_name<&gateway_settings::instance_name>},
+         {"ip", true, read_own_ip},
+         {"zone", true, read_name<&gateway_settings::zone>},
+         {"region", true, read_name<&gateway_settings::region>}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_listen(const yaml_value& value, gateway_settings& target) {
+    static constexpr std::array<yaml_field<gateway_settings>, 4U> fields{
+        {{"callers", true, read_endpoint<&gateway_settings::caller_endpoint>},
+         {"readiness", true, read_endpoint<&gateway_settings::readiness_endpoint>},
+         {"directory", true, read_endpoint<&gateway_settings::directory_endpoint>},
+         {"operators", true, read_endpoint<&gateway_settings::operator_endpoint>}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_peer_port(const yaml_value& value, gateway_settings& target) {
+    return value.read(target.peer_port, 1U, most_port);
+}
+
+[[nodiscard]] result<void> read_seeds(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_AUTO(items, value.items(0U, most_seeds));
+    for (const auto& item : items) {
+        BOOST_LEAF_AUTO(endpoint, item.text(is_endpoint, endpoint_form));
+        target.seeds.push_back(std::move(endpoint));
+    }
+    return {};
+}
+
+[[nodiscard]] result<void> read_peers(const yaml_value& value, gateway_settings& target) {
+    static constexpr std::array<yaml_field<gateway_settings>, 2U> fields{
+        {{"port", true, read_peer_port}, {"seeds", true, read_seeds}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_platform(const yaml_value& value, gateway_settings& target) {
+    static constexpr std::array<yaml_field<gateway_settings>, 2U> fields{
+        {{"name", false, read_name<&gateway_settings::platform>},
+         {"store", true, read_endpoint<&gateway_settings::store_endpoint>}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_bounds(const yaml_value& value, gateway_settings& target) {
+    static constexpr std::array<yaml_field<gateway_settings>, 6U> fields{
+        {{"stop_s", false, read_seconds<&gateway_settings::stop_time>},
+         {"lifetime_s", false, read_seconds<&gateway_settings::longest_lifetime>},
+         {"repeat_ratio", false, read_real<&gateway_settings::repeat_ratio>},
+         {"repeat_slack", false, read_real<&gateway_settings::repeat_slack>},
+         {"repeat_window_s", false, read_seconds<&gateway_settings::repeat_window>},
+         {"probes_per_s", false, read_real<&gateway_settings::probes_per_target>}}};
+    return value.read_map(target, fields);
+}
+
+[[nodiscard]] result<void> read_log_level(const yaml_value& value, gateway_settings& target) {
+    BOOST_LEAF_AUTO(index, value.choice(level_names));
+    target.log_level = level_names[index];
+    return {};
+}
+
+[[nodiscard]] result<void> read_logging(const yaml_value& value, gateway_settings& target) {
+    static constexpr std::array<yaml_field<gateway_settings>, 1U> fields{{{"level", false, read_log_level}}};
+    return value.read_map(target, fields);
+}
+
+} // namespace
+
+} // namespace internal
+
+result<gateway_settings> parse_gateway_settings(const std::string_view source, const std::string_view text) {
+    static constexpr std::array<yaml_field<gateway_settings>, 6U> fields{
+        {{"instance", true, internal::read_gateway_instance},
+         {"listen", true, internal::read_listen},
+         {"peers", true, internal::read_peers},
+         {"platform", true, internal::read_platform},
+         {"bounds", false, internal::read_bounds},
+         {"log", false, internal::read_logging}}};
+    BOOST_LEAF_AUTO(root, parse_yaml(source, text, internal::gateway_yaml_limits));
+    gateway_settings parsed{};
+    if (auto done = yaml_value{source, root, {}}.read_map(parsed, fields); !done) {
+        return done.error();
+    }
+    return parsed;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/load_prober.cpp
@@ -0,0 +1,90 @@
+#include "load_prober.hpp"
+
+#include <unordered_map>
+#include <utility>
+
+#include "forwarded_head.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+struct open_probe {
+    std::string target{};
+    std::string endpoint{};
+    std::unique_ptr<http_channel> channel{};
+    load_prober::completion done{};
+    timer_id timeout{};
+    time_point begun{};
+    bool kept_connection{};
+};
+
+} // namespace
+
+} // namespace internal
+
+struct load_prober::implementation {
+    event_loop& loop;
+    const dialect& speech;
+    channel_pool& channels;
+    std::unordered_map<std::uint64_t, internal::open_probe> open{};
+    std::uint64_t sent{};
+
+    void finish(const std::uint64_t number, exchange_outcome&& outcome) {
+        const auto position = this->open.find(number);
+        if (position == this->open.end()) {
+            return;
+        }
+        auto probe = std::move(position->second);
+        this->open.erase(position);
+        this->loop.cancel(probe.timeout);
+        answer seen{};
+        seen.taken = this->loop.now() - probe.begun;
+        seen.inconclusive = probe.kept_connection && outcome.failure == network_error::code::broken;
+        if (!outcome.failure) {
+            const auto facts = this->speech.read_response(outcome.response);
+            seen.reached = facts.target.empty() || facts.target == probe.target;
+            seen.load = facts.load;
+            if (outcome.reusable) {
+                this->channels.give_back(probe.endpoint, std::move(probe.channel));
+            }
+        }
+        probe.done(seen);
+    }
+};
+
+load_prober::load_prober(event_loop& loop, const dialect& speech, channel_pool& channels)
+    : self{std::make_unique<implementation>(implementation{loop, speech, channels})} {}
+
+load_prober::~load_prober() {
+    for (const auto& [number, probe] : this->self->open) {
+        this->self->loop.cancel(probe.timeout);
+    }
+}
+
+void load_prober::probe(const listed_target& target, const std::string& path, const duration timeout, completion done) {
+    auto& state = *this->self;
+    const auto number = ++state.sent;
+    auto& probe = state.open[number];
+    probe.target = target.id;
+    probe.endpoint = target.endpoint;
+    probe.channel = state.channels.take(target.endpoint);
+    probe.kept_connection = probe.channel->opened();
+    probe.done = std::move(done);
+    probe.begun = state.loop.now();
+    probe.timeout = state.loop.after(timeout, [&state, number] {
+        exchange_outcome outcome{};
+        outcome.failure = network_error::code::timed_out;
+        state.finish(number, std::move(outcome));
+    });
+    probe.channel->send(health_request(path, target.endpoint), false, {},
+                        [&state, number](exchange_outcome&& outcome) { state.finish(number, std::move(outcome)); });
+}
+
+std::uint64_t load_prober::sent() const noexcept {
+    return this->self->sent;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/platform_adapter.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "../loop/event_loop.hpp"
+#include "dialect.hpp"
+#include "platform_client.hpp"
+
+namespace mangopulley {
+
+/*! @brief The two sides on which a platform is spoken to. */
+struct platform_adapter {
+    std::unique_ptr<dialect> speech{};
+    std::unique_ptr<platform_client> store{};
+};
+
+/*! @brief Makes the adapter of a platform; registered in `registry<platform_factory>` under the platform's name. */
+using platform_factory = std::function<platform_adapter(event_loop& loop, const std::string& store_endpoint)>;
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -0,0 +1,303 @@
+#include "platform_follower.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "document_codec.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr duration follow_period{std::chrono::milliseconds{25}};
+constexpr duration never{std::chrono::hours{1}};
+
+[[nodiscard]] std::string age_text(const duration age) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(age).count());
+}
+
+/*! @brief State of reading one kind of document. */
+struct reading {
+    std::optional<time_point> as_of{};
+    bool under_way{};
+    bool fetching{};
+    bool lost{};
+    time_point pause_until{};
+
+    [[nodiscard]] duration age(const time_point now) const noexcept { return this->as_of ? now - *this->as_of : never; }
+};
+
+} // namespace
+
+} // namespace internal
+
+struct platform_follower::implementation {
+    parts environment;
+    follower_rule rule;
+    routing_config config{};
+    target_list listed{};
+    std::uint64_t digest{};
+    internal::reading targets{};
+    internal::reading configs{};
+    /*! @brief Targets missing since an outage, with the time until which they are still used. */
+    std::vector<std::pair<listed_target, time_point>> missing{};
+    time_point started{};
+    timer_id timer{};
+
+    [[nodiscard]] time_point now() const noexcept { return this->environment.loop.now(); }
+
+    [[nodiscard]] duration allowed_age() const {
+        const auto place = static_cast<std::int64_t>(std::min<std::size_t>(this->environment.place(), 32U));
+        return std::min(this->rule.read_age + place * this->rule.age_per_place, this->rule.longest_age);
+    }
+
+    void follow() {
+        const auto time = this->now();
+        const auto allowed = this->allowed_age();
+        if (!this->targets.as_of && this->environment.place() > 0U &&
+            time - this->started < this->rule.first_read_delay) {
+            return;
+        }
+        if (this->due(this->targets, allowed, time)) {
+            this->read_targets();
+        }
+        if (this->due(this->configs, allowed, time)) {
+            this->read_config();
+        }
+        this->drop_missing(time);
+    }
+
+    [[nodiscard]] static bool due(const internal::reading& state, const duration allowed, const time_point time) {
+        return !state.under_way && time >= state.pause_until && state.age(time) >= allowed;
+    }
+
+    void read_targets() {
+        const auto begun = this->now();
+        this->targets.under_way = true;
+        this->environment.platform.read_targets(
+            this->rule.call_timeout, [this, begun](platform_result<target_list>&& answer) {
+                this->targets.under_way = false;
+                if (auto* list = std::get_if<target_list>(&answer)) {
+                    this->regained("targets", this->targets);
+                    this->take_targets(std::move(*list), begun, "platform");
+                    this->environment.announce();
+                } else {
+                    this->failed("targets", this->targets, std::get<platform_error>(answer));
+                }
+            });
+    }
+
+    void read_config() {
+        const auto begun = this->now();
+        this->configs.under_way = true;
+        this->environment.platform.read_config(
+            this->rule.call_timeout, [this, begun](platform_result<routing_config>&& answer) {
+                this->configs.under_way = false;
+                if (auto* found = std::get_if<routing_config>(&answer)) {
+                    this->regained("config", this->configs);
+                    this->take_config(std::move(*found), begun, "platform");
+                    this->environment.announce();
+                } else {
+                    this->failed("config", this->configs, std::get<platform_error>(answer));
+                }
+            });
+    }
+
+    void failed(const std::string& what, internal::reading& state, const platform_error& error) {
+        state.pause_until = this->now() + this->rule.retry_pause;
+        if (!std::exchange(state.lost, true)) {
+            this->environment.log.change("platform_lost", {{"document", what},
+                                                           {"cause", std::string{name_of(error.why)}},
+                                                           {"detail", error.detail},
+                                                           {"age_ms", internal::age_text(state.age(this->now()))}});
+        }
+    }
+
+    void regained(const std::string& what, internal::reading& state) {
+        if (std::exchange(state.lost, false)) {
+            this->environment.log.change("platform_regained",
+                                         {{"document", what}, {"age_ms", internal::age_text(state.age(this->now()))}});
+        }
+    }
+
+    void take_config(routing_config&& found, const time_point as_of, const std::string& from) {
+        if (found.revision >= this->config.revision) {
+            this->configs.as_of = std::max(this->configs.as_of.value_or(as_of), as_of);
+        }
+        if (found.revision <= this->config.revision) {
+            return;
+        }
+        this->environment.log.change("config_changed", {{"version", std::to_string(found.version)},
+                                                        {"revision", std::to_string(found.revision)},
+                                                        {"previous", std::to_string(this->config.version)},
+                                                        {"routes", std::to_string(found.routes.size())},
+                                                        {"from", from},
+                                                        {"age_ms", internal::age_text(this->now() - as_of)}});
+        this->config = std::move(found);
+        this->environment.config_changed(this->config);
+    }
+
+    void take_targets(target_list&& found, const time_point as_of, const std::string& from) {
+        if (this->targets.as_of && (as_of < *this->targets.as_of || found.revision < this->listed.revision)) {
+            return;
+        }
+        const auto time = this->now();
+        const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
+        const auto next = digest_of(found);
+        const bool changed = next != this->digest || !this->targets.as_of;
+        if (after_outage) {
+            this->keep_missing(found, time + this->rule.return_grace);
+        }
+        this->targets.as_of = as_of;
+        this->listed = std::move(found);
+        this->digest = next;
+        if (changed || after_outage) {
+            this->log_targets(from, as_of, after_outage);
+            this->publish();
+        }
+    }
+
+    void log_targets(const std::string& from, const time_point as_of, const bool after_outage) {
+        const auto leaving = std::count_if(this->listed.targets.begin(), this->listed.targets.end(),
+                                           [](const listed_target& target) { return target.leaving; });
+        this->environment.log.change("targets_changed", {{"revision", std::to_string(this->listed.revision)},
+                                                         {"count", std::to_string(this->listed.targets.size())},
+                                                         {"leaving", std::to_string(leaving)},
+                                                         {"kept_missing", std::to_string(this->missing.size())},
+                                                         {"after_outage", after_outage ? "yes" : "no"},
+                                                         {"from", from},
+                                                         {"age_ms", internal::age_text(this->now() - as_of)}});
+    }
+
+    /*! @brief Goes on using targets whose entries lapsed while the platform was away, until they had time to return. */
+    void keep_missing(const target_list& found, const time_point until) {
+        for (const auto& known : this->listed.targets) {
+            const bool present = std::any_of(found.targets.begin(), found.targets.end(),
+                                             [&known](const listed_target& target) { return target.id == known.id; });
+            if (!present && !known.leaving) {
+                this->missing.emplace_back(known, until);
+            }
+        }
+    }
+
+    void drop_missing(const time_point time) {
+        const auto count = std::erase_if(this->missing, [time](const auto& entry) { return entry.second <= time; });
+        if (count > 0U) {
+            this->environment.log.change("targets_gone", {{"count", std::to_string(count)}});
+            this->publish();
+        }
+    }
+
+    void publish() {
+        auto view = this->listed;
+        std::erase_if(this->missing, [&view](const auto& entry) {
+            return std::any_of(view.targets.begin(), view.targets.end(), [&entry](const listed_target& target) {
+                return target.id == entry.first.id || target.endpoint == entry.first.endpoint;
+            });
+        });
+        for (const auto& [target, until] : this->missing) {
+            view.targets.push_back(target);
+        }
+        this->environment.targets_changed(view);
+    }
+
+    // What other instances know
+
+    void hear(const peer_record& record) {
+        const auto time = this->now();
+        this->hear_config(record, time);
+        this->hear_targets(record, time);
+    }
+
+    void hear_config(const peer_record& record, const time_point time) {
+        const auto as_of = time - record.config_age;
+        if (record.config_revision == 0U || this->configs.fetching) {
+            return;
+        }
+        if (record.config_revision == this->config.revision) {
+            this->configs.as_of = std::max(this->configs.as_of.value_or(as_of), as_of);
+        } else if (record.config_revision > this->config.revision) {
+            this->configs.fetching = true;
+            this->environment.fetch(record.ip, "/config", [this, as_of, ip = record.ip](std::string&& bytes) {
+                this->configs.fetching = false;
+                if (auto found = decode_config(bytes)) {
+                    this->take_config(std::move(*found), as_of, ip);
+                }
+            });
+        }
+    }
+
+    void hear_targets(const peer_record& record, const time_point time) {
+        const auto as_of = time - record.targets_age;
+        if (record.targets_revision == 0U || this->targets.fetching ||
+            (this->targets.as_of && as_of <= *this->targets.as_of)) {
+            return;
+        }
+        const bool known = this->targets.as_of && record.targets_digest == this->digest;
+        const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
+        if (known && !after_outage) {
+            this->targets.as_of = as_of;
+            this->listed.revision = std::max(this->listed.revision, record.targets_revision);
+            return;
+        }
+        this->targets.fetching = true;
+        this->environment.fetch(record.ip, "/targets", [this, as_of, ip = record.ip](std::string&& bytes) {
+            this->targets.fetching = false;
+            if (auto found = decode_targets(bytes)) {
+                this->take_targets(std::move(*found), as_of, ip);
+            }
+        });
+    }
+};
+
+platform_follower::platform_follower(parts environment, const follower_rule& bounds)
+    : self{std::make_unique<implementation>(implementation{std::move(environment), bounds})} {}
+
+platform_follower::~platform_follower() {
+    this->self->environment.loop.cancel(this->self->timer);
+}
+
+void platform_follower::start() {
+    auto& state = *this->self;
+    state.started = state.now();
+    state.timer = state.environment.loop.every(internal::follow_period, [&state] { state.follow(); });
+}
+
+void platform_follower::hear(const peer_record& record) {
+    this->self->hear(record);
+}
+
+void platform_follower::describe(peer_record& record) const {
+    const auto& state = *this->self;
+    record.config_revision = state.config.revision;
+    record.config_age = this->config_age();
+    record.targets_revision = state.targets.as_of ? state.listed.revision : 0U;
+    record.targets_digest = state.digest;
+    record.targets_age = this->targets_age();
+}
+
+bool platform_follower::informed() const noexcept {
+    return this->self->targets.as_of.has_value() && this->self->config.revision > 0U;
+}
+
+const target_list& platform_follower::listed() const noexcept {
+    return this->self->listed;
+}
+
+const routing_config& platform_follower::config() const noexcept {
+    return this->self->config;
+}
+
+duration platform_follower::targets_age() const noexcept {
+    return this->self->targets.age(this->self->now());
+}
+
+duration platform_follower::config_age() const noexcept {
+    return this->self->configs.age(this->self->now());
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/rendezvous.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace mangopulley {
+
+/**
+ * @brief Ranks a member for a key by rendezvous hashing; the same on every instance.
+ * @param key What is to be placed.
+ * @param member Candidate; the one with the highest rank is chosen.
+ * @return Rank.
+ */
+[[nodiscard]] constexpr std::uint64_t rendezvous_rank(const std::string_view key,
+                                                      const std::string_view member) noexcept {
+    std::uint64_t state = 14'695'981'039'346'656'037ULL;
+    const auto step = [&state](const unsigned char byte) {
+        state ^= byte;
+        state *= 1'099'511'628'211ULL;
+    };
+    for (const char letter : key) {
+        step(static_cast<unsigned char>(letter));
+    }
+    step(0U);
+    for (const char letter : member) {
+        step(static_cast<unsigned char>(letter));
+    }
+    // The last bytes of a name hardly reach the high bits without this mixing (splitmix64).
+    state ^= state >> 30U;
+    state *= 0xBF58476D1CE4E5B9ULL;
+    state ^= state >> 27U;
+    state *= 0x94D049BB133111EBULL;
+    return state ^ (state >> 31U);
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/repeat_budget.cpp
@@ -0,0 +1,56 @@
+#include "repeat_budget.hpp"
+
+#include <algorithm>
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+// Other instances may have restarted and lost count, and windows slide past the edges of the buckets.
+constexpr double usable_part_of_slack = 0.5;
+constexpr double usable_part_of_ratio = 0.75;
+
+} // namespace
+
+} // namespace internal
+
+void repeat_budget::configure(const repeat_rule& bounds, const std::size_t sharing) noexcept {
+    this->rule = bounds;
+    this->instances = std::max<std::size_t>(sharing, 1U);
+}
+
+repeat_budget::bucket& repeat_budget::at(const time_point now) noexcept {
+    const auto length = std::max<duration>(this->rule.window / buckets_per_window, duration{1});
+    const auto index = now.time_since_epoch() / length;
+    auto& slot = this->buckets[static_cast<std::size_t>(index) % this->buckets.size()];
+    if (slot.index != index) {
+        slot = {index, 0U, 0U};
+    }
+    return slot;
+}
+
+void repeat_budget::count_request(const time_point now) noexcept {
+    ++this->at(now).requests;
+}
+
+bool repeat_budget::try_take(const time_point now) noexcept {
+    auto& present = this->at(now);
+    double requests = 0.0;
+    double repeats = 0.0;
+    for (const auto& slot : this->buckets) {
+        if (slot.index > present.index - static_cast<std::int64_t>(this->buckets.size())) {
+            requests += slot.requests;
+            repeats += slot.repeats;
+        }
+    }
+    const double slack = this->rule.slack * internal::usable_part_of_slack / static_cast<double>(this->instances);
+    if (repeats + 1.0 > requests * this->rule.ratio * internal::usable_part_of_ratio + slack) {
+        return false;
+    }
+    ++present.repeats;
+    return true;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/request_scheduler.cpp
@@ -0,0 +1,241 @@
+#include "request_scheduler.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr double completion_weight = 0.05;
+constexpr duration shortest_retry_after{std::chrono::milliseconds{100}};
+constexpr duration longest_retry_after{std::chrono::seconds{2}};
+// Callers are sent back after this when no target is known: lists are read about once a second.
+constexpr duration no_target_retry_after{std::chrono::milliseconds{500}};
+
+/*! @brief Tokens for probes; holds at most half a second's worth. */
+class probe_allowance {
+public:
+    void refill(const time_point now, const double per_second) noexcept {
+        const auto passed = std::chrono::duration<double>(now - this->refilled).count();
+        this->refilled = now;
+        this->tokens = std::min(this->tokens + std::max(passed, 0.0) * per_second, std::max(per_second * 0.5, 1.0));
+    }
+
+    [[nodiscard]] bool take() noexcept {
+        if (this->tokens < 1.0) {
+            return false;
+        }
+        this->tokens -= 1.0;
+        return true;
+    }
+
+private:
+    double tokens{};
+    time_point refilled{};
+};
+
+} // namespace
+
+} // namespace internal
+
+struct request_scheduler::implementation {
+    target_pool pool;
+    scheduling_rule rule;
+    actions outlets;
+    std::vector<request> line{};
+    internal::probe_allowance probes{};
+    /*! @brief Smoothed time that a request holds a slot. */
+    duration holding{};
+
+    [[nodiscard]] duration scaled(const duration work, const double factor) const noexcept {
+        return std::chrono::duration_cast<duration>(work * factor);
+    }
+
+    [[nodiscard]] std::size_t in_flight() const noexcept {
+        std::size_t total = 0U;
+        for (const auto& target : this->pool.targets()) {
+            total += target->in_flight;
+        }
+        return total;
+    }
+
+    /*! @brief Returns the time until as many slots have come free as requests stand ahead. */
+    [[nodiscard]] duration wait_behind(const std::size_t ahead) const noexcept {
+        const auto slots = this->pool.slots();
+        const auto busy = this->in_flight();
+        if (slots == 0U || busy + ahead < slots) {
+            return duration::zero();
+        }
+        const auto turns = static_cast<double>(busy + ahead + 1U - slots) / static_cast<double>(slots);
+        return this->scaled(this->holding, turns);
+    }
+
+    [[nodiscard]] refusal refuse_for(const refusal_reason reason, const duration wait) const noexcept {
+        if (reason == refusal_reason::no_target) {
+            return {reason, no_target_time()};
+        }
+        return {reason, std::clamp(wait, internal::shortest_retry_after, internal::longest_retry_after)};
+    }
+
+    [[nodiscard]] static duration no_target_time() noexcept { return internal::no_target_retry_after; }
+
+    /*! @brief Orders requests that can still meet their goal before late ones, then by priority, then by goal. */
+    void sort(const time_point now) {
+        const auto late = [this, now](const request& item) {
+            return now + this->scaled(item->work, this->rule.least_work) > item->goal;
+        };
+        std::stable_sort(this->line.begin(), this->line.end(), [&late](const request& left, const request& right) {
+            const bool left_late = late(left);
+            const bool right_late = late(right);
+            if (left_late != right_late) {
+                return right_late;
+            }
+            return left->priority != right->priority ? left->priority < right->priority : left->goal < right->goal;
+        });
+    }
+
+    void drop_hopeless(const time_point now) {
+        std::vector<std::pair<request, refusal_reason>> dropped{};
+        std::erase_if(this->line, [&](const request& item) {
+            const bool late = now + this->scaled(item->work, this->rule.least_work) > item->deadline;
+            const bool alone = !this->pool.has_usable(item->tried);
+            if (late || alone) {
+                dropped.emplace_back(item, alone ? refusal_reason::no_target : refusal_reason::out_of_time);
+            }
+            return late || alone;
+        });
+        for (const auto& [item, reason] : dropped) {
+            this->outlets.refuse(item, this->refuse_for(reason, this->wait_behind(this->line.size())));
+        }
+    }
+
+    void scout(const target_pool::choice& wanted, const time_point now) {
+        for (const auto& target : this->pool.worth_probing(wanted, this->rule.probes_per_request, now)) {
+            if (!this->probes.take()) {
+                return;
+            }
+            target->probe_pending = true;
+            this->outlets.probe(target);
+        }
+    }
+
+    [[nodiscard]] std::size_t probes_under_way() const noexcept {
+        const auto all = this->pool.targets();
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [](const target_pool::handle& target) { return target->probe_pending; }));
+    }
+
+    /*! @brief Returns the target to send a request to now, or nothing when it is better to wait. */
+    [[nodiscard]] target_pool::handle decide(const waiting_request& item, const std::size_t position,
+                                             const time_point now) {
+        target_pool::choice wanted{item.work, item.tried, true};
+        const bool reports = this->pool.reports_load();
+        const auto fresh = reports ? this->pool.best(wanted, now) : std::nullopt;
+        if (fresh && fresh->expected <= this->scaled(item.work, this->rule.good_enough)) {
+            return fresh->target;
+        }
+        wanted.fresh_only = false;
+        const auto any = this->pool.best(wanted, now);
+        if (!any) {
+            return nullptr;
+        }
+        if (!reports) {
+            return any->target;
+        }
+        if (this->probes_under_way() < this->rule.probes_per_request * (position + 1U)) {
+            this->scout(wanted, now);
+        }
+        const bool scouting = this->probes_under_way() > 0U && now - item.arrived < this->rule.longest_scouting;
+        if (scouting) {
+            return nullptr;
+        }
+        const auto& choice = fresh ? fresh : any;
+        const bool meets_goal = now + choice->expected <= item.goal;
+        const bool may_wait = item.goal - now > this->scaled(item.work, this->rule.waiting_margin);
+        if (!meets_goal && may_wait) {
+            return nullptr;
+        }
+        return choice->target;
+    }
+};
+
+request_scheduler::request_scheduler(const target_choice_rule& choice, const scheduling_rule& order, actions outlets)
+    : self{std::make_unique<implementation>(implementation{target_pool{choice}, order, std::move(outlets)})} {}
+
+request_scheduler::~request_scheduler() = default;
+
+target_pool& request_scheduler::targets() noexcept {
+    return this->self->pool;
+}
+
+const target_pool& request_scheduler::targets() const noexcept {
+    return this->self->pool;
+}
+
+void request_scheduler::limit_probes(const double per_target) noexcept {
+    this->self->rule.probes_per_target = per_target;
+}
+
+void request_scheduler::submit(const request& item, const time_point now) {
+    auto& state = *this->self;
+    if (!state.pool.has_usable(item->tried)) {
+        state.outlets.refuse(item, state.refuse_for(refusal_reason::no_target, {}));
+        return;
+    }
+    const auto wait = this->expected_wait();
+    if (now + wait + state.scaled(item->work, state.rule.least_work) > item->deadline) {
+        state.outlets.refuse(item, state.refuse_for(refusal_reason::overloaded, wait));
+        return;
+    }
+    state.line.push_back(item);
+    this->advance(now);
+}
+
+void request_scheduler::withdraw(const request& item) noexcept {
+    std::erase(this->self->line, item);
+}
+
+void request_scheduler::advance(const time_point now) {
+    auto& state = *this->self;
+    state.probes.refill(now, state.rule.probes_per_target * static_cast<double>(state.pool.usable()));
+    if (state.line.empty()) {
+        return;
+    }
+    state.drop_hopeless(now);
+    state.sort(now);
+    std::vector<std::pair<request, target_pool::handle>> ready{};
+    std::size_t position = 0U;
+    for (const auto& item : state.line) {
+        if (auto target = state.decide(*item, position++, now)) {
+            // Counted at once, so that the next request in line sees the slot taken.
+            state.pool.begin(*target, now);
+            ready.emplace_back(item, std::move(target));
+        }
+    }
+    for (const auto& [item, target] : ready) {
+        std::erase(state.line, item);
+    }
+    for (const auto& [item, target] : ready) {
+        state.outlets.send(item, target);
+    }
+}
+
+void request_scheduler::note_completion(const duration taken) noexcept {
+    auto& mean = this->self->holding;
+    mean = mean == duration::zero()
+               ? taken
+               : mean + std::chrono::duration_cast<duration>((taken - mean) * internal::completion_weight);
+}
+
+std::size_t request_scheduler::waiting() const noexcept {
+    return this->self->line.size();
+}
+
+duration request_scheduler::expected_wait() const noexcept {
+    return this->self->wait_behind(this->self->line.size());
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/route_table.cpp
@@ -0,0 +1,118 @@
+#include "route_table.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <Poco/Ascii.h>
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+[[nodiscard]] std::string normalized_host(std::string_view host) {
+    const auto colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos) {
+        host = host.substr(0U, colon);
+    }
+    std::string name{host};
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](const char letter) { return static_cast<char>(Poco::Ascii::toLower(letter)); });
+    return name;
+}
+
+/*! @brief Position in the rotation of a route's split. */
+struct rotation {
+    std::vector<split_part> parts{};
+    std::vector<double> credit{};
+};
+
+} // namespace
+
+} // namespace internal
+
+struct route_table::implementation {
+    std::shared_ptr<const routing_config> config{std::make_shared<routing_config>()};
+    /*! @brief Routes of each host, longest prefix first. */
+    std::unordered_map<std::string, std::vector<const route*>> by_host{};
+    std::map<std::string, internal::rotation, std::less<>> rotations{};
+
+    void index() {
+        this->by_host.clear();
+        for (const auto& item : this->config->routes) {
+            this->by_host[internal::normalized_host(item.host)].push_back(&item);
+        }
+        for (auto& [host, routes] : this->by_host) {
+            std::stable_sort(routes.begin(), routes.end(), [](const route* left, const route* right) {
+                return left->prefix.size() > right->prefix.size();
+            });
+        }
+        std::erase_if(this->rotations, [this](const auto& entry) {
+            const auto& routes = this->config->routes;
+            return std::none_of(routes.begin(), routes.end(), [&entry](const route& item) {
+                return item.name == entry.first && item.parts == entry.second.parts;
+            });
+        });
+    }
+};
+
+route_table::route_table() : self{std::make_unique<implementation>()} {}
+
+route_table::~route_table() = default;
+
+bool route_table::apply(routing_config config) {
+    if (config.revision <= this->self->config->revision) {
+        return false;
+    }
+    this->self->config = std::make_shared<routing_config>(std::move(config));
+    this->self->index();
+    return true;
+}
+
+const std::shared_ptr<const routing_config>& route_table::current() const noexcept {
+    return this->self->config;
+}
+
+const route* route_table::find(const std::string_view host, const std::string_view path) const {
+    const auto position = this->self->by_host.find(internal::normalized_host(host));
+    if (position == this->self->by_host.end()) {
+        return nullptr;
+    }
+    for (const auto* item : position->second) {
+        if (path.starts_with(item->prefix)) {
+            return item;
+        }
+    }
+    return nullptr;
+}
+
+std::string_view route_table::next_service(const route& selected) {
+    if (selected.parts.size() == 1U) {
+        return selected.parts.front().service;
+    }
+    auto& turn = this->self->rotations[selected.name];
+    if (turn.parts != selected.parts) {
+        turn = {selected.parts, std::vector<double>(selected.parts.size(), 0.0)};
+    }
+    double total = 0.0;
+    std::size_t best = 0U;
+    for (std::size_t index = 0U; index < turn.parts.size(); ++index) {
+        total += turn.parts[index].weight;
+        turn.credit[index] += turn.parts[index].weight;
+        if (turn.credit[index] > turn.credit[best]) {
+            best = index;
+        }
+    }
+    if (total <= 0.0) {
+        return {};
+    }
+    turn.credit[best] -= total;
+    return selected.parts[best].service;
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/gateway/target_pool.cpp
@@ -0,0 +1,250 @@
+#include "target_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr double failure_weight = 0.25;
+constexpr double success_weight = 0.1;
+constexpr double pace_weight = 0.02;
+// A target that refuses often is full rather than faulty; it is passed over only for a moment.
+constexpr std::uint32_t failures_before_avoidance = 2U;
+constexpr duration foreign_memory{std::chrono::milliseconds{100}};
+// A probe shows one request more than there are when another instance has just sent it on.
+constexpr double slot_tolerance = 0.5;
+
+[[nodiscard]] bool contains(const std::span<const std::string> ids, const std::string& id) noexcept {
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+[[nodiscard]] double fading(const duration age, const duration constant) noexcept {
+    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(constant.count()));
+}
+
+} // namespace
+
+} // namespace internal
+
+duration pool_target::reading_age(const time_point now) const noexcept {
+    return this->reading ? now - this->read_at : duration::max();
+}
+
+void target_pool::update(const std::span<const listed_target> listed, const time_point now) {
+    std::vector<handle> next{};
+    next.reserve(listed.size());
+    for (const auto& item : listed) {
+        const auto known = std::find_if(this->members.begin(), this->members.end(), [&item](const handle& member) {
+            return member->listing.id == item.id && member->listing.born == item.born;
+        });
+        if (known != this->members.end()) {
+            (*known)->listing = item;
+            next.push_back(*known);
+            continue;
+        }
+        auto fresh = std::make_shared<pool_target>();
+        fresh->listing = item;
+        fresh->joined = now;
+        fresh->warm_until = now + item.warm_up;
+        next.push_back(std::move(fresh));
+    }
+    for (const auto& member : this->members) {
+        member->listed = std::find(next.begin(), next.end(), member) != next.end();
+    }
+    this->members = std::move(next);
+}
+
+double target_pool::foreign(const pool_target& target, const time_point now) const noexcept {
+    if (!target.reading) {
+        return 0.0;
+    }
+    const auto reported = target.reading->running + target.reading->waiting;
+    if (reported <= target.in_flight_at_reading) {
+        return 0.0;
+    }
+    return static_cast<double>(reported - target.in_flight_at_reading) *
+           internal::fading(target.reading_age(now), internal::foreign_memory);
+}
+
+bool target_pool::is_free(const pool_target& target, const time_point now) const noexcept {
+    return target.listed && !target.listing.leaving &&
+           target.in_flight + this->foreign(target, now) + 1.0 <= target.listing.slots + internal::slot_tolerance;
+}
+
+double target_pool::slowness(const pool_target& target, const time_point now) const noexcept {
+    double pace = this->mean_pace;
+    if (target.reading) {
+        const auto age = target.reading_age(now);
+        const double weight = age <= this->rule.fresh_for ? 1.0 : internal::fading(age, this->rule.pace_memory);
+        pace = weight * target.reading->pace + (1.0 - weight) * this->mean_pace;
+    }
+    return target.warm_until > now ? pace * this->rule.cold_factor : pace;
+}
+
+duration target_pool::expected(const pool_target& target, const duration work, const time_point now) const noexcept {
+    double factor = this->slowness(target, now);
+    const auto load = target.in_flight + this->foreign(target, now);
+    if (load + 1.0 >= target.listing.slots) {
+        factor *= this->rule.full_factor;
+    }
+    factor += target.failure_share * this->rule.failure_cost;
+    auto time = std::chrono::duration_cast<duration>(work * factor);
+    if (target.listing.zone != this->rule.own_zone) {
+        time += this->rule.other_zone_cost;
+    }
+    return time;
+}
+
+std::optional<target_pool::estimate> target_pool::best(const choice& wanted, const time_point now) const {
+    std::optional<estimate> found{};
+    bool found_avoided = false;
+    for (const auto& member : this->members) {
+        if (!this->is_free(*member, now) || internal::contains(wanted.excluded, member->listing.id)) {
+            continue;
+        }
+        if (wanted.fresh_only && member->reading_age(now) > this->rule.fresh_for) {
+            continue;
+        }
+        const bool avoided = member->avoid_until > now;
+        const auto time = this->expected(*member, wanted.work, now);
+        const bool better =
+            !found || (found_avoided && !avoided) ||
+            (found_avoided == avoided &&
+             (time < found->expected || (time == found->expected && member->last_used < found->target->last_used)));
+        if (better) {
+            found = estimate{member, time};
+            found_avoided = avoided;
+        }
+    }
+    return found;
+}
+
+std::vector<target_pool::handle> target_pool::worth_probing(const choice& wanted, const std::size_t most,
+                                                            const time_point now) const {
+    struct candidate {
+        duration expected;
+        handle target;
+    };
+    std::vector<candidate> candidates{};
+    for (const auto& member : this->members) {
+        if (this->is_free(*member, now) && !member->probe_pending && member->avoid_until <= now &&
+            member->reading_age(now) > this->rule.fresh_for &&
+            !internal::contains(wanted.excluded, member->listing.id)) {
+            candidates.push_back({this->expected(*member, wanted.work, now), member});
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const candidate& left, const candidate& right) {
+        return left.expected != right.expected ? left.expected < right.expected
+                                               : left.target->last_used < right.target->last_used;
+    });
+    std::vector<handle> chosen{};
+    for (const auto& item : candidates) {
+        if (chosen.size() == most) {
+            break;
+        }
+        chosen.push_back(item.target);
+    }
+    return chosen;
+}
+
+void target_pool::begin(pool_target& target, const time_point now) noexcept {
+    ++target.in_flight;
+    target.last_used = now;
+}
+
+void target_pool::learn_pace(const double pace) noexcept {
+    this->mean_pace += (pace - this->mean_pace) * internal::pace_weight;
+}
+
+void target_pool::take_reading(pool_target& target, const load_reading& reading, const time_point now) {
+    target.reading = reading;
+    target.read_at = now;
+    target.in_flight_at_reading = target.in_flight;
+    if (target.failures_in_row > 0U && target.avoid_until <= now) {
+        target.failures_in_row = 0U;
+    }
+    this->ever_reported = true;
+    this->reporting = true;
+    this->learn_pace(reading.pace);
+}
+
+void target_pool::note_no_report() noexcept {
+    this->reporting = this->ever_reported;
+}
+
+void target_pool::note_failure(pool_target& target, const time_point now) noexcept {
+    ++target.failures_in_row;
+    if (target.failures_in_row < internal::failures_before_avoidance) {
+        return;
+    }
+    const auto doublings = std::min(target.failures_in_row - internal::failures_before_avoidance, 8U);
+    target.avoid_until = now + std::min(this->rule.first_avoidance * (1U << doublings), this->rule.longest_avoidance);
+}
+
+void target_pool::note_probe_failure(pool_target& target, const time_point now) {
+    target.reading.reset();
+    // One probe without answer is enough: requests sent after it would be lost with the target.
+    target.failures_in_row = std::max(target.failures_in_row, internal::failures_before_avoidance - 1U);
+    this->note_failure(target, now);
+}
+
+void target_pool::end(pool_target& target, const send_outcome outcome, const std::optional<load_reading>& load,
+                      const time_point now) {
+    if (target.in_flight > 0U) {
+        --target.in_flight;
+    }
+    switch (outcome) {
+    case send_outcome::answered:
+        target.failure_share *= 1.0 - internal::success_weight;
+        target.failures_in_row = 0U;
+        target.avoid_until = {};
+        break;
+    case send_outcome::failed:
+    case send_outcome::timed_out:
+        target.failure_share += (1.0 - target.failure_share) * internal::failure_weight;
+        this->note_failure(target, now);
+        break;
+    case send_outcome::shed:
+        target.failure_share += (1.0 - target.failure_share) * internal::success_weight;
+        break;
+    case send_outcome::unreachable:
+        target.failures_in_row = std::max(target.failures_in_row, internal::failures_before_avoidance - 1U);
+        this->note_failure(target, now);
+        break;
+    case send_outcome::unused:
+        break;
+    }
+    if (load) {
+        // The answer tells of the moment when it was sent, so that the request it answers may still be counted.
+        const auto before = target.in_flight_at_reading;
+        this->take_reading(target, *load, now);
+        target.in_flight_at_reading = std::max(target.in_flight + 1U, before);
+    }
+}
+
+bool target_pool::has_usable(const std::span<const std::string> excluded) const noexcept {
+    return std::any_of(this->members.begin(), this->members.end(), [excluded](const handle& member) {
+        return !member->listing.leaving && !internal::contains(excluded, member->listing.id);
+    });
+}
+
+std::size_t target_pool::usable() const noexcept {
+    return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(),
+                                                  [](const handle& member) { return !member->listing.leaving; }));
+}
+
+std::size_t target_pool::slots() const noexcept {
+    std::size_t total = 0U;
+    for (const auto& member : this->members) {
+        total += member->listing.leaving ? 0U : member->listing.slots;
+    }
+    return total;
+}
+
+} // namespace mangopulley
--- a/src/mangopulley/http/http_message.hpp
+++ b/src/mangopulley/http/http_message.hpp
@@ -47,6 +47,8 @@
     std::size_t longest_head{16'384U};
     std::size_t longest_body{1'048'576U};
     std::size_t most_headers{100U};
+    /*! @brief Whether bodies may come in chunks, and requests without a length count as having no body. */
+    bool accept_chunked{};
     std::size_t most_connections{4'000U};
     /*! @brief Longest time from the first byte of a request to its last. */
     milliseconds longest_receive{5'000};
--- a/src/mangopulley/http/request_parser.cpp
+++ b/src/mangopulley/http/request_parser.cpp
@@ -91,9 +91,29 @@
         this->continue_expected =
             this->request.head.get("Expect", "") == "100-continue" && this->buffer.size() == this->head_size;
     }
+    if (this->chunked) {
+        return this->examine_chunks();
+    }
     return this->buffer.size() >= this->head_size + this->body_size ? state::complete : state::incomplete;
 }
 
+request_parser::state request_parser::examine_chunks() {
+    auto rest = std::string_view{this->buffer}.substr(this->head_size);
+    const auto done = this->chunks.feed(rest, this->request.body);
+    this->buffer.erase(this->head_size, this->buffer.size() - this->head_size - rest.size());
+    switch (done) {
+    case body_decoder::state::complete:
+        return state::complete;
+    case body_decoder::state::incomplete:
+        return state::incomplete;
+    case body_decoder::state::too_long:
+        return this->reject(413, "request body too long");
+    case body_decoder::state::malformed:
+        break;
+    }
+    return this->reject(400, "malformed chunk");
+}
+
 bool request_parser::head_is_well_formed(const std::string_view head) {
     auto rest = head.substr(0U, head.size() - 2U);
     std::size_t lines = 0U;
@@ -154,13 +174,29 @@
     return true;
 }
 
+bool request_parser::begin_chunks() {
+    const auto& head = this->request.head;
+    if (head.has("Content-Length")) {
+        static_cast<void>(this->reject(400, "both Content-Length and Transfer-Encoding"));
+        return false;
+    }
+    if (!this->bounds.accept_chunked) {
+        static_cast<void>(this->reject(411, "a request body needs a Content-Length"));
+        return false;
+    }
+    if (Poco::icompare(head.get("Transfer-Encoding"), "chunked") != 0) {
+        static_cast<void>(this->reject(400, "transfer coding not supported"));
+        return false;
+    }
+    this->chunks = body_decoder{body_decoder::framing::chunked, 0U, this->bounds.longest_body};
+    this->chunked = true;
+    return true;
+}
+
 bool request_parser::read_framing() {
     const auto& head = this->request.head;
     if (head.has("Transfer-Encoding")) {
-        const bool both = head.has("Content-Length");
-        static_cast<void>(both ? this->reject(400, "both Content-Length and Transfer-Encoding")
-                               : this->reject(411, "a request body needs a Content-Length"));
-        return false;
+        return this->begin_chunks();
     }
     std::size_t lengths = 0U;
     for (const auto& [name, value] : head) {
@@ -173,7 +209,7 @@
             return false;
         }
     }
-    if (lengths == 0U && head.getMethod() == Poco::Net::HTTPRequest::HTTP_POST) {
+    if (lengths == 0U && !this->bounds.accept_chunked && head.getMethod() == Poco::Net::HTTPRequest::HTTP_POST) {
         static_cast<void>(this->reject(411, "a request body needs a Content-Length"));
         return false;
     }
@@ -185,8 +221,11 @@
 }
 
 http_request request_parser::take() {
-    this->request.body = this->buffer.substr(this->head_size, this->body_size);
+    if (!this->chunked) {
+        this->request.body = this->buffer.substr(this->head_size, this->body_size);
+    }
     this->buffer.erase(0U, this->head_size + this->body_size);
+    this->chunked = false;
     this->head_size = 0U;
     this->body_size = 0U;
     this->head_done = false;
--- a/src/mangopulley/http/request_parser.hpp
+++ b/src/mangopulley/http/request_parser.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "../core/fwd.hpp"
+#include "body_decoder.hpp"
 #include "http_message.hpp"
 
 namespace mangopulley {
@@ -44,12 +45,18 @@
     [[nodiscard]] bool head_is_well_formed(std::string_view head);
     [[nodiscard]] bool parse_head(std::string_view head);
     [[nodiscard]] bool read_framing();
+    /*! @brief Chooses chunked framing, which only some servers accept. */
+    [[nodiscard]] bool begin_chunks();
+    [[nodiscard]] state examine_chunks();
 
     http_limits bounds;
     std::string buffer{};
     http_request request{};
     std::size_t head_size{};
     std::size_t body_size{};
+    /*! @brief Decodes a chunked body; the encoded bytes are dropped from the buffer as they are taken. */
+    body_decoder chunks{};
+    bool chunked{};
     bool head_done{};
     bool continue_expected{};
     int status{};
--- /dev/null
+++ b/src/mangopulley/http/response_parser.cpp
@@ -0,0 +1,151 @@
+#include "response_parser.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <istream>
+#include <optional>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+
+#include "field_names.hpp"
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr std::string_view response_head_end = "\r\n\r\n";
+constexpr std::size_t longest_response_head = 65'536U;
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+
+/*! @brief Returns the one Content-Length, or nothing when it is malformed or contradictory. */
+[[nodiscard]] std::optional<std::size_t> content_length(const Poco::Net::HTTPResponse& head) {
+    std::optional<std::size_t> length{};
+    for (const auto& [name, value] : head) {
+        if (Poco::icompare(name, field_name::content_length) != 0) {
+            continue;
+        }
+        std::size_t number{};
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
+        if (parsed.ec != std::errc{} || parsed.ptr != value.data() + value.size() || (length && *length != number)) {
+            return std::nullopt;
+        }
+        length = number;
+    }
+    return length;
+}
+
+} // namespace
+
+} // namespace internal
+
+response_parser::state response_parser::read_head() {
+    const auto end = this->buffer.find(internal::response_head_end);
+    if (end == std::string::npos) {
+        // Bytes that cannot begin a status line never become a response.
+        const std::string_view start{"HTTP/1."};
+        const auto seen = std::min(this->buffer.size(), start.size());
+        const bool plausible = std::string_view{this->buffer}.substr(0U, seen) == start.substr(0U, seen);
+        return plausible && this->buffer.size() <= internal::longest_response_head ? state::incomplete
+                                                                                   : state::malformed;
+    }
+    const auto size = end + internal::response_head_end.size();
+    this->response = http_response{};
+    try {
+        Poco::MemoryInputStream stream{this->buffer.data(), static_cast<std::streamsize>(size)};
+        this->response.head.read(stream);
+    } catch (const Poco::Exception&) {
+        return state::malformed;
+    }
+    this->buffer.erase(0U, size);
+    const auto& version = this->response.head.getVersion();
+    if (version != Poco::Net::HTTPMessage::HTTP_1_1 && version != Poco::Net::HTTPMessage::HTTP_1_0) {
+        return state::malformed;
+    }
+    this->response.keep_alive = this->response.head.getKeepAlive();
+    return state::complete;
+}
+
+bool response_parser::choose_framing() {
+    const auto& head = this->response.head;
+    const int status = this->response.status();
+    if (this->bodiless || status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT ||
+        status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED) {
+        this->body = body_decoder{body_decoder::framing::none, 0U, this->longest};
+        return true;
+    }
+    if (head.has(field_name::transfer_encoding)) {
+        if (head.has(field_name::content_length) ||
+            Poco::icompare(head.get(field_name::transfer_encoding), "chunked") != 0) {
+            return false;
+        }
+        this->body = body_decoder{body_decoder::framing::chunked, 0U, this->longest};
+        return true;
+    }
+    if (head.has(field_name::content_length)) {
+        const auto length = internal::content_length(head);
+        this->body = body_decoder{body_decoder::framing::length, length.value_or(0U), this->longest};
+        return length.has_value();
+    }
+    this->body = body_decoder{body_decoder::framing::until_close, 0U, this->longest};
+    this->response.keep_alive = false;
+    return true;
+}
+
+response_parser::state response_parser::examine() {
+    if (this->failed) {
+        return state::malformed;
+    }
+    while (!this->head_done) {
+        const auto read = this->read_head();
+        if (read != state::complete) {
+            this->failed = read == state::malformed;
+            return read;
+        }
+        const int status = this->response.status();
+        if (status >= internal::first_final_status) {
+            if (status > internal::last_status || !this->choose_framing()) {
+                this->failed = true;
+                return state::malformed;
+            }
+            this->head_done = true;
+        } else if (status == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS) {
+            this->failed = true;
+            return state::malformed;
+        }
+    }
+    std::string_view rest{this->buffer};
+    const auto done = this->body.feed(rest, this->response.body);
+    this->buffer.erase(0U, this->buffer.size() - rest.size());
+    switch (done) {
+    case body_decoder::state::complete:
+        return state::complete;
+    case body_decoder::state::incomplete:
+        return state::incomplete;
+    case body_decoder::state::malformed:
+    case body_decoder::state::too_long:
+        break;
+    }
+    this->failed = true;
+    return state::malformed;
+}
+
+response_parser::state response_parser::finish(const bool broken) {
+    const auto present = this->examine();
+    if (present == state::incomplete && this->head_done && !broken && this->body.ends_with_connection()) {
+        return state::complete;
+    }
+    return present == state::complete ? present : state::malformed;
+}
+
+http_response response_parser::take() {
+    this->head_done = false;
+    return std::exchange(this->response, http_response{});
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/loop/datagram_port.cpp
@@ -0,0 +1,70 @@
+#include "datagram_port.hpp"
+
+#include <array>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr std::size_t longest_datagram = 65'536U;
+constexpr int most_datagrams_per_turn = 256;
+
+} // namespace
+
+} // namespace internal
+
+struct datagram_port::implementation {
+    event_loop& loop;
+    Poco::Net::DatagramSocket socket;
+    received_callback action;
+    std::array<char, internal::longest_datagram> buffer{};
+
+    implementation(event_loop& owner, const std::string& address, received_callback callback)
+        : loop{owner}, socket{Poco::Net::SocketAddress{address}, true}, action{std::move(callback)} {
+        this->socket.setBlocking(false);
+    }
+
+    void receive() {
+        for (int count = 0; count < internal::most_datagrams_per_turn; ++count) {
+            Poco::Net::SocketAddress sender{};
+            int size = 0;
+            try {
+                size = this->socket.receiveFrom(this->buffer.data(), static_cast<int>(this->buffer.size()), sender);
+            } catch (const Poco::Exception&) {
+                return;
+            }
+            if (size < 0) {
+                return;
+            }
+            this->action(sender.host().toString(), {this->buffer.data(), static_cast<std::size_t>(size)});
+        }
+    }
+};
+
+datagram_port::datagram_port(event_loop& loop, const std::string& address, received_callback action)
+    : self{std::make_unique<implementation>(loop, address, std::move(action))} {
+    auto& state = *this->self;
+    loop.watch(state.socket, Poco::Net::PollSet::POLL_READ, [&state](int) { state.receive(); });
+}
+
+datagram_port::~datagram_port() {
+    this->self->loop.forget(this->self->socket);
+}
+
+void datagram_port::send(const std::string& endpoint, const std::string_view bytes) noexcept {
+    try {
+        this->self->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress{endpoint});
+    } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+        // The next heartbeat repeats what this datagram said.
+    }
+}
+
+} // namespace mangopulley
--- /dev/null
+++ b/src/mangopulley/loop/stream.cpp
@@ -0,0 +1,291 @@
+#include "stream.hpp"
+
+#include <array>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <netinet/tcp.h>
+
+namespace mangopulley {
+
+namespace internal {
+
+namespace {
+
+constexpr std::size_t read_size = 16'384U;
+constexpr int listen_backlog = 512;
+constexpr int most_accepts_per_turn = 64;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+
+void configure(Poco::Net::StreamSocket& socket, const stream_timing& timing) {
+    socket.setBlocking(false);
+    socket.setNoDelay(true);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timing.unacknowledged.count()));
+    if (timing.keep_alive > milliseconds::zero()) {
+        socket.setKeepAlive(true);
+        socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE,
+                         static_cast<int>(std::chrono::ceil<std::chrono::seconds>(timing.keep_alive).count()));
+        socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+        socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+struct stream::implementation : std::enable_shared_from_this<stream::implementation> {
+    event_loop& loop;
+    Poco::Net::StreamSocket socket;
+    /*! @brief Held while one of them runs, because the stream may be destroyed meanwhile. */
+    std::shared_ptr<const events> callbacks;
+    std::string unsent{};
+    std::size_t sent_of_unsent{};
+    bool connecting{};
+    bool open{true};
+    bool paused{};
+    bool any_sent{};
+
+    implementation(event_loop& owner, const Poco::Net::StreamSocket& connection, events actions)
+        : loop{owner}, socket{connection}, callbacks{std::make_shared<const events>(std::move(actions))} {}
+
+    [[nodiscard]] std::size_t pending() const noexcept { return this->unsent.size() - this->sent_of_unsent; }
+
+    [[nodiscard]] int modes() const noexcept {
+        int wanted = Poco::Net::PollSet::POLL_ERROR;
+        if (!this->paused) {
+            wanted |= Poco::Net::PollSet::POLL_READ;
+        }
+        if (this->connecting || this->pending() > 0U) {
+            wanted |= Poco::Net::PollSet::POLL_WRITE;
+        }
+        return wanted;
+    }
+
+    void watch() {
+        this->loop.watch(this->socket, this->modes(), [held = this->weak_from_this()](const int ready) {
+            if (const auto state = held.lock()) {
+                state->serve(ready);
+            }
+        });
+    }
+
+    void rewatch() {
+        if (this->open) {
+            this->loop.change(this->socket, this->modes());
+        }
+    }
+
+    void close() noexcept {
+        if (!std::exchange(this->open, false)) {
+            return;
+        }
+        this->loop.forget(this->socket);
+        try {
+            this->socket.close();
+        } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+            // The peer has closed it already.
+        }
+    }
+
+    void fail(const bool broken) {
+        if (!this->open) {
+            return;
+        }
+        this->close();
+        if (const auto actions = this->callbacks; actions && actions->closed) {
+            actions->closed(broken);
+        }
+    }
+
+    void serve(const int ready) {
+        const auto kept = this->shared_from_this();
+        if (this->connecting) {
+            this->finish_connecting(ready);
+            return;
+        }
+        if ((ready & Poco::Net::PollSet::POLL_WRITE) != 0) {
+            this->flush(true);
+        }
+        if (this->open && (ready & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) != 0) {
+            this->receive();
+        }
+    }
+
+    void finish_connecting(const int ready) {
+        int code = 0;
+        this->socket.impl()->getOption(SOL_SOCKET, SO_ERROR, code);
+        if (code != 0 || (ready & Poco::Net::PollSet::POLL_WRITE) == 0) {
+            if (code != 0 || (ready & Poco::Net::PollSet::POLL_ERROR) != 0) {
+                this->fail(true);
+            }
+            return;
+        }
+        this->connecting = false;
+        this->rewatch();
+        if (const auto actions = this->callbacks; actions && actions->connected) {
+            actions->connected();
+        }
+        if (this->open) {
+            this->flush(true);
+        }
+    }
+
+    void receive() {
+        std::array<char, internal::read_size> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+        int count = 0;
+        try {
+            count = this->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        } catch (const Poco::TimeoutException&) {
+            return;
+        } catch (const Poco::Exception&) {
+            this->fail(true);
+            return;
+        }
+        if (count == 0) {
+            this->fail(false);
+        } else if (const auto actions = this->callbacks; count > 0 && actions && actions->received) {
+            actions->received({buffer.data(), static_cast<std::size_t>(count)});
+        }
+    }
+
+    void flush(const bool notify) {
+        if (this->connecting || !this->open || this->pending() == 0U) {
+            return;
+        }
+        try {
+            while (this->pending() > 0U) {
+                const int count = this->socket.sendBytes(this->unsent.data() + this->sent_of_unsent,
+                                                         static_cast<int>(this->pending()));
+                if (count < 0) {
+                    break;
+                }
+                this->any_sent = true;
+                this->sent_of_unsent += static_cast<std::size_t>(count);
+            }
+        } catch (const Poco::TimeoutException&) { // NOLINT(bugprone-empty-catch)
+            // The peer takes no more bytes now.
+        } catch (const Poco::Exception&) {
+            // Reported by the next turn, because the caller of `send` may hold references into its own state.
+            this->sent_of_unsent = this->unsent.size();
+            this->loop.after(duration::zero(), [held = this->weak_from_this()] {
+                if (const auto state = held.lock()) {
+                    state->fail(true);
+                }
+            });
+            return;
+        }
+        if (this->pending() == 0U) {
+            this->unsent.clear();
+            this->sent_of_unsent = 0U;
+        }
+        this->rewatch();
+        if (const auto actions = this->callbacks; notify && this->pending() == 0U && actions && actions->drained) {
+            actions->drained();
+        }
+    }
+};
+
+result<std::unique_ptr<stream>> stream::connect(event_loop& loop, const std::string& endpoint,
+                                                const stream_timing& timing, events callbacks) {
+    try {
+        const Poco::Net::SocketAddress address{endpoint};
+        Poco::Net::StreamSocket socket{address.family()};
+        internal::configure(socket, timing);
+        socket.connectNB(address);
+        auto state = std::make_shared<implementation>(loop, socket, std::move(callbacks));
+        state->connecting = true;
+        state->watch();
+        return std::unique_ptr<stream>{new stream{std::move(state)}};
+    } catch (const Poco::Exception& error) {
+        return boost::leaf::new_error(
+            network_error{network_error::code::connect_failed, endpoint, error.displayText()});
+    }
+}
+
+stream::stream(std::shared_ptr<implementation> state) noexcept : self{std::move(state)} {}
+
+stream::stream(event_loop& loop, const Poco::Net::StreamSocket& accepted, const stream_timing& timing, events callbacks)
+    : self{std::make_shared<implementation>(loop, accepted, std::move(callbacks))} {
+    internal::configure(this->self->socket, timing);
+    this->self->watch();
+}
+
+stream::~stream() {
+    this->self->callbacks.reset();
+    this->self->close();
+}
+
+void stream::send(const std::string_view bytes) {
+    this->self->unsent.append(bytes);
+    this->self->flush(false);
+}
+
+std::size_t stream::unsent() const noexcept {
+    return this->self->pending();
+}
+
+bool stream::has_sent() const noexcept {
+    return this->self->any_sent;
+}
+
+void stream::pause_reading(const bool paused) {
+    if (this->self->paused != paused) {
+        this->self->paused = paused;
+        this->self->rewatch();
+    }
+}
+
+void stream::finish_sending() noexcept {
+    try {
+        this->self->socket.shutdownSend();
+    } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+        // The peer has closed the connection already.
+    }
+}
+
+struct stream_listener::implementation {
+    event_loop& loop;
+    Poco::Net::ServerSocket socket{};
+    accepted_callback action;
+
+    void accept() {
+        try {
+            for (int count = 0; count < internal::most_accepts_per_turn; ++count) {
+                if (!this->socket.poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ)) {
+                    return;
+                }
+                this->action(this->socket.acceptConnection());
+            }
+        } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+            // The caller gave up before it was accepted, or no descriptor is free; the next turn tries again.
+        }
+    }
+};
+
+stream_listener::stream_listener(event_loop& loop, const std::string& address, accepted_callback action)
+    : self{std::make_unique<implementation>(implementation{loop, {}, std::move(action)})} {
+    auto& state = *this->self;
+    // Without SO_REUSEPORT: two processes on one port would each get a part of the callers.
+    state.socket.bind(Poco::Net::SocketAddress{address}, true, false);
+    state.socket.listen(internal::listen_backlog);
+    state.socket.setBlocking(false);
+    loop.watch(state.socket, Poco::Net::PollSet::POLL_READ, [&state](int) { state.accept(); });
+}
+
+stream_listener::~stream_listener() {
+    this->self->loop.forget(this->self->socket);
+    this->self->socket.close();
+}
+
+std::uint16_t stream_listener::port() const {
+    return this->self->socket.address().port();
+}
+
+} // namespace mangopulley
--- a/src/mangopulley/observe/event_log.cpp
+++ b/src/mangopulley/observe/event_log.cpp
@@ -1,5 +1,6 @@
 #include "event_log.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -27,6 +28,16 @@
     return log4cxx::Level::getInfo();
 }
 
+constexpr const char* line_format = "time=\"%d{yyyy-MM-dd HH:mm:ss.SSS}\" level=%p component=%c %m%n";
+constexpr int most_buffered_lines = 2'000;
+
+void install(const std::string_view level, const log4cxx::AppenderPtr& appender) {
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(appender);
+    root->setLevel(log4cxx::Level::toLevel(std::string{level}, log4cxx::Level::getInfo()));
+}
+
 /*! @brief Appends a value in quotes when it holds a character that would break the line into other fields. */
 void append_value(std::string& line, const std::string_view value) {
     if (!value.empty() && value.find_first_of(" \"=\\\r\n\t") == std::string_view::npos) {
@@ -47,13 +58,24 @@
 } // namespace internal
 
 void configure_logging(const std::string_view level) {
-    const auto layout =
-        std::make_shared<log4cxx::PatternLayout>("time=\"%d{yyyy-MM-dd HH:mm:ss.SSS}\" level=%p component=%c %m%n");
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::line_format);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    const auto root = log4cxx::Logger::getRootLogger();
-    root->removeAllAppenders();
-    root->addAppender(appender);
-    root->setLevel(log4cxx::Level::toLevel(std::string{level}, log4cxx::Level::getInfo()));
+    internal::install(level, appender);
+}
+
+void configure_background_logging(const std::string_view level) {
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(internal::line_format);
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->addAppender(console);
+    appender->setBufferSize(internal::most_buffered_lines);
+    // A reader of standard output that stops reading costs lines, never requests.
+    appender->setBlocking(false);
+    internal::install(level, appender);
+}
+
+void stop_logging() {
+    log4cxx::LogManager::shutdown();
 }
 
 struct event_log::implementation {
--- a/src/mangopulley/observe/event_log.hpp
+++ b/src/mangopulley/observe/event_log.hpp
@@ -19,6 +19,15 @@
  */
 void configure_logging(std::string_view level);
 
+/**
+ * @brief Sends log lines to standard output from a thread of their own; lines that find its buffer full are dropped.
+ * @param level As of `configure_logging`.
+ */
+void configure_background_logging(std::string_view level);
+
+/*! @brief Writes what is buffered and ends the thread of the log. */
+void stop_logging();
+
 /*! @brief Structured log of one component: an event name and named values per line, written by log4cxx. */
 class event_log {
 public:
