Let the leaders of each zone carry membership; name the strongest to callers

Now instances introduce themselves once; three leaders of each zone, the strongest first, send heartbeats, and callers are told the first two.

--- a/src/mangopulley/gateway/fleet.cpp
+++ b/src/mangopulley/gateway/fleet.cpp
@@ -2,84 +2,244 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "rendezvous.hpp"
 
 namespace mangopulley {
 
+namespace internal {
+
+namespace {
+
+constexpr duration fleet_tick{std::chrono::milliseconds{100}};
+// Heartbeats between two that carry the identity, for receivers that missed the introduction.
+constexpr unsigned heartbeats_per_introduction = 8U;
+constexpr duration seed_period{std::chrono::milliseconds{300}};
+constexpr duration seed_silence{std::chrono::seconds{4}};
+constexpr duration members_period{std::chrono::seconds{2}};
+
+struct member {
+    peer_record record{};
+    time_point heard{};
+    /*! @brief When this instance began to expect heartbeats as from a leader. */
+    time_point expected_since{};
+    /*! @brief Whether it was silent when heartbeats were expected; until it is heard again. */
+    bool suspected{};
+    /*! @brief Whether it has introduced itself. */
+    bool introduced{};
+};
+
+/*! @brief Orders the instances of a zone: the strongest lead, and equal ones by a hash that favours no rack. */
+[[nodiscard]] bool leads_before(const peer_record& left, const peer_record& right) {
+    if (left.identity.millicores != right.identity.millicores) {
+        return left.identity.millicores > right.identity.millicores;
+    }
+    const auto left_rank = rendezvous_rank("leader", left.identity.name);
+    const auto right_rank = rendezvous_rank("leader", right.identity.name);
+    return left_rank != right_rank ? left_rank > right_rank : left.identity.name < right.identity.name;
+}
+
+} // namespace
+
+} // namespace internal
+
 struct fleet::implementation {
     event_loop& loop;
     fleet_rule rule;
-    sender outlet;
+    outlets ways;
+    std::function<peer_record()> source;
     listener action;
-    std::function<peer_record()> source{};
     std::vector<std::string> seeds{};
-    /*! @brief By IP address; an instance that starts again replaces its predecessor. */
-    std::map<std::string, peer, std::less<>> peers{};
+    std::map<std::string, internal::member, std::less<>> members{};
+    std::set<std::string, std::less<>> leading{};
+    time_point next_heartbeat{};
+    time_point next_introduction{};
+    time_point next_seed_call{};
+    time_point next_members_fetch{};
+    unsigned heartbeats{};
     timer_id timer{};
 
-    void send_to(const std::string& ip) {
-        auto record = this->source();
-        if (ip == record.ip) {
-            return;
+    [[nodiscard]] bool usable(const internal::member& item) const {
+        return item.introduced && item.record.ready && !item.suspected &&
+               this->loop.now() - item.heard <= this->rule.known_for;
+    }
+
+    [[nodiscard]] std::vector<peer_record> leaders() const {
+        std::map<std::string, std::vector<peer_record>> by_zone{};
+        const auto own = this->source();
+        if (own.ready) {
+            by_zone[own.identity.zone].push_back(own);
+        }
+        for (const auto& [ip, item] : this->members) {
+            if (this->usable(item)) {
+                by_zone[item.record.identity.zone].push_back(item.record);
+            }
+        }
+        std::vector<peer_record> chosen{};
+        for (auto& [zone, records] : by_zone) {
+            std::sort(records.begin(), records.end(), internal::leads_before);
+            const auto count = std::min(records.size(), this->rule.leaders_per_zone);
+            chosen.insert(chosen.end(), records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count));
         }
-        this->fill(record);
-        this->outlet(ip, encode_peer_record(record));
+        return chosen;
     }
 
-    void fill(peer_record& record) const {
-        const auto now = this->loop.now();
-        for (const auto& [ip, item] : this->peers) {
-            if (now - item.heard <= this->rule.live_for) {
-                record.known_ips.push_back(ip);
+    [[nodiscard]] std::uint64_t members_digest() const {
+        std::uint64_t digest = 0U;
+        const auto add = [&digest](const std::string& ip, const std::uint64_t incarnation) {
+            digest ^= rendezvous_rank(ip, std::to_string(incarnation));
+        };
+        for (const auto& [ip, item] : this->members) {
+            if (this->usable(item)) {
+                add(ip, item.record.incarnation);
             }
         }
+        const auto own = this->source();
+        if (own.ready) {
+            add(own.identity.ip, own.incarnation);
+        }
+        return digest;
+    }
+
+    [[nodiscard]] std::string message(const bool introduces, const bool asks) const {
+        heartbeat_message content{};
+        content.record = this->source();
+        content.introduces = introduces;
+        content.asks = asks;
+        content.members_digest = introduces ? this->members_digest() : 0U;
+        return encode_peer_message(content);
     }
 
-    void announce() {
+    void send_to_all(const std::string& bytes) {
+        for (const auto& [ip, item] : this->members) {
+            this->ways.send(ip, bytes);
+        }
+    }
+
+    void tick() {
         const auto now = this->loop.now();
-        std::erase_if(this->peers,
+        std::erase_if(this->members,
                       [this, now](const auto& entry) { return now - entry.second.heard > this->rule.known_for; });
-        auto record = this->source();
-        this->fill(record);
-        const auto bytes = encode_peer_record(record);
-        for (const auto& [ip, item] : this->peers) {
-            this->outlet(ip, bytes);
+        this->suspect_silent(now);
+        const auto own = this->source();
+        const bool leads = this->leading.contains(own.identity.ip);
+        if (leads && now >= this->next_heartbeat) {
+            this->heartbeat(now);
+        }
+        if (!leads && now >= this->next_introduction) {
+            this->next_introduction = now + this->rule.introduction_period;
+            const auto bytes = this->message(true, false);
+            for (const auto& ip : this->leading) {
+                this->ways.send(ip, bytes);
+            }
+        }
+        if (now >= this->next_seed_call) {
+            this->next_seed_call = now + internal::seed_period;
+            this->call_seeds(now, own.identity.ip);
+        }
+    }
+
+    void heartbeat(const time_point now) {
+        this->next_heartbeat = now + this->rule.heartbeat_period;
+        const bool introduces = this->heartbeats++ % internal::heartbeats_per_introduction == 0U;
+        this->send_to_all(this->message(introduces, false));
+    }
+
+    void suspect_silent(const time_point now) {
+        std::set<std::string, std::less<>> present{};
+        for (const auto& record : this->leaders()) {
+            present.insert(record.identity.ip);
         }
+        for (auto& [ip, item] : this->members) {
+            if (!present.contains(ip)) {
+                continue;
+            }
+            if (!this->leading.contains(ip)) {
+                item.expected_since = now;
+            }
+            if (now - std::max(item.heard, item.expected_since) > this->rule.live_for) {
+                item.suspected = true;
+            }
+        }
+        this->leading = std::move(present);
+    }
+
+    void call_seeds(const time_point now, const std::string& own_ip) {
         for (const auto& ip : this->seeds) {
-            if (ip != record.ip && !this->peers.contains(ip)) {
-                this->outlet(ip, bytes);
+            const auto known = this->members.find(ip);
+            const bool silent = known == this->members.end() || now - known->second.heard > internal::seed_silence;
+            if (ip != own_ip && silent) {
+                this->ways.send(ip, this->message(true, true));
             }
         }
     }
 
-    void receive(const std::string_view bytes) {
-        const auto record = decode_peer_record(bytes);
-        const auto own = this->source();
-        if (!record || record->ip == own.ip) {
+    void receive(const std::string& ip, const std::string_view bytes) {
+        auto decoded = decode_peer_message(bytes);
+        if (!decoded || ip == this->source().identity.ip) {
             return;
         }
-        auto& item = this->peers[record->ip];
-        const bool unknown = item.record.incarnation != record->incarnation;
-        item.record = *record;
+        auto& item = this->members[ip];
+        const bool unknown = !item.introduced || item.record.incarnation != decoded->record.incarnation;
+        if (decoded->introduces) {
+            item.introduced = true;
+        } else {
+            decoded->record.identity = item.record.identity;
+            item.introduced = item.introduced && !unknown;
+        }
+        item.record = std::move(decoded->record);
         item.heard = this->loop.now();
-        if (unknown) {
-            // A new instance learns at once who is there and what is in force.
-            this->send_to(record->ip);
-        }
-        for (const auto& ip : record->known_ips) {
-            if (ip != own.ip && !this->peers.contains(ip)) {
-                this->peers[ip].heard = this->loop.now() - this->rule.live_for - duration{1};
-                this->send_to(ip);
+        item.suspected = false;
+        if (decoded->asks || unknown) {
+            this->ways.send(ip, this->message(true, !item.introduced));
+        }
+        if (decoded->introduces && decoded->members_digest != 0U &&
+            decoded->members_digest != this->members_digest()) {
+            this->fetch_members(ip);
+        }
+        this->action(ip, item.record);
+    }
+
+    void fetch_members(const std::string& ip) {
+        const auto now = this->loop.now();
+        if (now < this->next_members_fetch) {
+            return;
+        }
+        this->next_members_fetch = now + internal::members_period;
+        this->ways.fetch_members(ip, [this](std::string&& bytes) {
+            if (const auto found = decode_members(bytes)) {
+                this->take_members(*found);
+            }
+        });
+    }
+
+    void take_members(const std::vector<known_instance>& found) {
+        const auto now = this->loop.now();
+        const auto own_ip = this->source().identity.ip;
+        for (const auto& other : found) {
+            const auto& ip = other.record.identity.ip;
+            const auto heard = now - other.silence;
+            const auto known = this->members.find(ip);
+            if (ip == own_ip || ip.empty() || other.silence > this->rule.known_for) {
+                continue;
+            }
+            if (known == this->members.end() || (!known->second.introduced && heard > known->second.heard)) {
+                auto& item = this->members[ip];
+                item.record = other.record;
+                item.heard = heard;
+                item.introduced = true;
+                this->ways.send(ip, this->message(true, false));
             }
         }
-        this->action(*record);
     }
 };
 
-fleet::fleet(event_loop& loop, const fleet_rule& bounds, sender outlet, listener action)
-    : self{std::make_unique<implementation>(implementation{loop, bounds, std::move(outlet), std::move(action)})} {}
+fleet::fleet(event_loop& loop, const fleet_rule& bounds, outlets ways, std::function<peer_record()> source,
+             listener action)
+    : self{std::make_unique<implementation>(
+          implementation{loop, bounds, std::move(ways), std::move(source), std::move(action)})} {}
 
 fleet::~fleet() {
     this->self->loop.cancel(this->self->timer);
@@ -89,60 +249,72 @@
     this->self->seeds = std::move(ips);
 }
 
-void fleet::set_self(std::function<peer_record()> source) {
-    this->self->source = std::move(source);
-}
-
 void fleet::start() {
     auto& state = *this->self;
-    state.announce();
-    state.timer = state.loop.every(state.rule.heartbeat_period, [&state] { state.announce(); });
+    state.tick();
+    state.timer = state.loop.every(internal::fleet_tick, [&state] { state.tick(); });
 }
 
 void fleet::announce() {
-    this->self->announce();
+    auto& state = *this->self;
+    state.next_heartbeat = state.loop.now() + state.rule.heartbeat_period;
+    state.send_to_all(state.message(false, false));
+}
+
+void fleet::introduce() {
+    this->self->send_to_all(this->self->message(true, false));
 }
 
-void fleet::receive(const std::string_view bytes) {
-    this->self->receive(bytes);
+void fleet::receive(const std::string_view ip, const std::string_view bytes) {
+    this->self->receive(std::string{ip}, bytes);
 }
 
-std::vector<peer> fleet::live() const {
-    std::vector<peer> found{};
+std::vector<peer_record> fleet::leaders() const {
+    return this->self->leaders();
+}
+
+std::vector<known_instance> fleet::members() const {
+    std::vector<known_instance> found{};
     const auto now = this->self->loop.now();
-    for (const auto& [ip, item] : this->self->peers) {
-        if (now - item.heard <= this->self->rule.live_for && item.record.incarnation != 0U) {
-            found.push_back(item);
+    for (const auto& [ip, item] : this->self->members) {
+        if (item.introduced && !item.suspected) {
+            found.push_back({item.record, now - item.heard});
         }
     }
-    std::sort(found.begin(), found.end(),
-              [](const peer& left, const peer& right) { return left.record.name < right.record.name; });
     return found;
 }
 
-std::vector<std::string> choose_addresses(const std::span<const peer_record> instances, const std::string_view host,
-                                          const std::string_view region, const std::string_view zone,
-                                          const std::size_t most) {
-    struct candidate {
-        int distance;
-        std::uint64_t rank;
-        const peer_record* record;
+std::size_t fleet::size() const {
+    const auto& members = this->self->members;
+    return 1U + static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [this](const auto& entry) {
+               return this->self->usable(entry.second);
+           }));
+}
+
+std::size_t fleet::place_in_line() const {
+    // The last leader of a zone reads first: the first ones are named to callers.
+    const auto all = this->leaders();
+    const auto own = this->self->source();
+    const auto place = std::find_if(all.rbegin(), all.rend(), [&own](const peer_record& record) {
+        return record.identity.ip == own.identity.ip;
+    });
+    return static_cast<std::size_t>(place - all.rbegin());
+}
+
+std::vector<std::string> choose_addresses(const std::span<const peer_record> leaders, const std::string_view region,
+                                          const std::string_view zone, const std::size_t most) {
+    const auto distance = [&](const peer_record& record) {
+        return record.identity.zone == zone ? 0 : record.identity.region == region ? 1 : 2;
     };
-    std::vector<candidate> candidates{};
-    for (const auto& item : instances) {
-        const int distance = item.zone == zone ? 0 : item.region == region ? 1 : 2;
-        candidates.push_back({distance, rendezvous_rank(host, item.name), &item});
+    int nearest = 2;
+    for (const auto& record : leaders) {
+        nearest = std::min(nearest, distance(record));
     }
-    std::sort(candidates.begin(), candidates.end(), [](const candidate& left, const candidate& right) {
-        return left.distance != right.distance ? left.distance < right.distance : left.rank > right.rank;
-    });
     std::vector<std::string> chosen{};
-    for (const auto& item : candidates) {
-        // An address in another zone is named only where the caller's own zone has none.
-        if (chosen.size() == most || item.distance != candidates.front().distance) {
-            break;
+    for (const auto& record : leaders) {
+        if (chosen.size() < most && distance(record) == nearest) {
+            chosen.push_back(record.identity.caller_endpoint);
         }
-        chosen.push_back(item.record->caller_endpoint);
     }
     return chosen;
 }
--- a/src/mangopulley/gateway/fleet.hpp
+++ b/src/mangopulley/gateway/fleet.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "../loop/event_loop.hpp"
@@ -14,50 +15,68 @@
 
 /*! @brief Constants of the membership among instances. */
 struct fleet_rule {
-    duration heartbeat_period{std::chrono::milliseconds{300}};
-    /*! @brief An instance that was not heard from for this long is not named to callers. */
-    duration live_for{std::chrono::milliseconds{1'100}};
+    /*! @brief Leading instances of each zone; they alone send heartbeats to all and are named to callers. */
+    std::size_t leaders_per_zone{3U};
+    duration heartbeat_period{std::chrono::milliseconds{400}};
+    /*! @brief A leader that was not heard from for this long is replaced. */
+    duration live_for{std::chrono::milliseconds{1'300}};
+    /*! @brief Other instances introduce themselves to the leaders at this period. */
+    duration introduction_period{std::chrono::seconds{5}};
     /*! @brief An instance that was not heard from for this long is forgotten. */
-    duration known_for{std::chrono::seconds{30}};
-};
-
-/*! @brief Another instance and when it was heard from last. */
-struct peer {
-    peer_record record{};
-    time_point heard{};
+    duration known_for{std::chrono::seconds{60}};
 };
 
 /**
- * @brief Instances that this one hears from, by heartbeats in datagrams.
+ * @brief Instances that this one knows of, and the leading ones of each zone.
  *
- * Instances find each other through the seeds of their settings and through the addresses in each other's heartbeats.
- * Decides without a network of its own: heartbeats are sent through the given function.
+ * Every instance introduces itself to all others when it starts and when its readiness changes. From then on only the
+ * leaders of each zone send heartbeats, so that messages grow with the number of instances, not with its square. The
+ * leaders are the ready instances with the largest processor share, in an order that all instances compute alike; one
+ * that falls silent gives way to the next.
  */
 class fleet {
 public:
-    /*! @brief Sends bytes to the instance with that IP address. */
-    using sender = std::function<void(const std::string& ip, std::string_view bytes)>;
-    /*! @brief Called with each heartbeat taken in. */
-    using listener = std::function<void(const peer_record& record)>;
+    /*! @brief Ways out to other instances. */
+    struct outlets {
+        std::function<void(const std::string& ip, std::string_view bytes)> send{};
+        /*! @brief Fetches the list of instances that another one knows, encoded by `encode_members`. */
+        std::function<void(const std::string& ip, std::function<void(std::string&&)> done)> fetch_members{};
+    };
+    /*! @brief Called with each record heard; identity may be empty. */
+    using listener = std::function<void(const std::string& ip, const peer_record& record)>;
 
-    fleet(event_loop& loop, const fleet_rule& bounds, sender outlet, listener action);
+    /**
+     * @brief Prepares the membership.
+     * @param loop Loop, which must outlive the fleet.
+     * @param bounds Constants.
+     * @param ways Ways out.
+     * @param source Returns what this instance says of itself.
+     * @param action Called with what others say.
+     */
+    fleet(event_loop& loop, const fleet_rule& bounds, outlets ways, std::function<peer_record()> source,
+          listener action);
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
     ~fleet();
 
     /*! @brief Replaces the addresses at which other instances are looked for. */
     void set_seeds(std::vector<std::string> ips);
-    /*! @brief Replaces what is said in heartbeats; the known addresses are filled in. */
-    void set_self(std::function<peer_record()> source);
-    /*! @brief Begins to send heartbeats. */
     void start();
-    /*! @brief Sends a heartbeat to all known instances now. */
+    /*! @brief Tells all instances what this one knows now. */
     void announce();
+    /*! @brief Introduces this instance to all others, as after a change of its readiness. */
+    void introduce();
     /*! @brief Takes in a datagram. */
-    void receive(std::string_view bytes);
+    void receive(std::string_view ip, std::string_view bytes);
 
-    /*! @brief Returns the instances heard from lately, in the order of their names. */
-    [[nodiscard]] std::vector<peer> live() const;
+    /*! @brief Returns the leaders of all zones, this instance included where it is one, best first in each zone. */
+    [[nodiscard]] std::vector<peer_record> leaders() const;
+    /*! @brief Returns the instances known, without this one. */
+    [[nodiscard]] std::vector<known_instance> members() const;
+    /*! @brief Returns the number of instances that are presumed to run, this one included. */
+    [[nodiscard]] std::size_t size() const;
+    /*! @brief Returns the place of this instance in the line of readers, from 0. */
+    [[nodiscard]] std::size_t place_in_line() const;
 
 private:
     struct implementation;
@@ -67,18 +86,16 @@
 /**
  * @brief Chooses the addresses that a caller is told.
  *
- * Few instances per zone see most requests of a host, so that they know its targets from their own requests; another
- * one takes over when one of them is not heard from.
+ * Few instances per zone see most requests, so that they know the targets from their own requests. An address in
+ * another zone is named only where the caller's own zone has none.
  *
- * @param instances Instances that callers may use, this one included.
- * @param host Host that the caller asks for.
+ * @param leaders Instances that callers may use, best first in each zone.
  * @param region Region of the caller.
  * @param zone Zone of the caller.
  * @param most Number of addresses wanted.
- * @return Addresses as `ip:port`, at least one unless `instances` is empty.
+ * @return Addresses as `ip:port`, at least one unless `leaders` is empty.
  */
-[[nodiscard]] std::vector<std::string> choose_addresses(std::span<const peer_record> instances, std::string_view host,
-                                                        std::string_view region, std::string_view zone,
-                                                        std::size_t most);
+[[nodiscard]] std::vector<std::string> choose_addresses(std::span<const peer_record> leaders, std::string_view region,
+                                                        std::string_view zone, std::size_t most);
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -41,8 +41,8 @@
 constexpr double answering_share_of_stop = 0.93;
 // Part of the fleet's budget of probes that is given out; the rest covers instances that disagree on their number.
 constexpr double usable_part_of_probes = 0.5;
-// Several zones name instances of their own, so that about this many per zone send probes at once.
-constexpr std::size_t probing_instances_per_zone = 3U;
+// Named leaders of a zone, and one more while callers move from one to another.
+constexpr std::size_t sending_instances_per_zone = 3U;
 
 [[nodiscard]] std::string ip_of(const std::string& endpoint) {
     return endpoint.substr(0U, endpoint.rfind(':'));
@@ -64,6 +64,7 @@
     gateway_settings configuration;
     const clock& time;
     std::function<std::string()> read_settings;
+    instance_identity identity{this->make_identity()};
     std::uint64_t incarnation{incarnation_id::generate().value()};
     std::string settings_text{};
     std::atomic<bool> stop_requested{};
@@ -82,12 +83,11 @@
                        forwarding_rule{}};
     peer_fetcher documents{this->loop, this->configuration.peer_port, internal::peer_fetch_timeout};
     datagram_port datagrams{this->loop, this->peer_endpoint(this->configuration.ip),
-                            [this](std::string_view, const std::string_view bytes) { this->members.receive(bytes); }};
-    fleet members{this->loop, fleet_rule{},
-                  [this](const std::string& ip, const std::string_view bytes) {
-                      this->datagrams.send(this->peer_endpoint(ip), bytes);
-                  },
-                  [this](const peer_record& record) { this->follower.hear(record); }};
+                            [this](const std::string_view ip, const std::string_view bytes) {
+                                this->members.receive(ip, bytes);
+                            }};
+    fleet members{this->loop, fleet_rule{}, this->fleet_outlets(), [this] { return this->describe_self(); },
+                  [this](const std::string& ip, const peer_record& record) { this->follower.hear(ip, record); }};
     platform_follower follower{this->follower_parts(), follower_rule{}};
     caller_port callers{this->loop, this->configuration.caller_endpoint, [this] { return this->caller_bounds(); },
                         [this](const auto& exchange) { this->requests.handle(exchange); }};
@@ -105,7 +105,6 @@
         : configuration{std::move(values)}, time{source},
           read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
         this->settings_text = this->read_settings();
-        this->members.set_self([this] { return this->describe_self(); });
         this->apply_settings();
     }
 
@@ -123,7 +122,7 @@
         return {this->loop,
                 *this->platform.store,
                 this->log,
-                [this] { return this->place_in_line(); },
+                [this] { return this->members.place_in_line(); },
                 [this](const std::string& ip, const std::string& path, std::function<void(std::string &&)> done) {
                     this->documents.fetch(ip, path, std::move(done));
                 },
@@ -136,28 +135,35 @@
 
     [[nodiscard]] bool ready() const { return !this->stopping && this->follower.informed(); }
 
+    [[nodiscard]] instance_identity make_identity() const {
+        constexpr double millicores_per_core = 1'000.0;
+        const auto& own = this->configuration;
+        return {own.instance_name,
+                own.ip,
+                own.zone,
+                own.region,
+                own.caller_endpoint,
+                static_cast<std::uint32_t>(own.cpu_share * own.cpu_cores * millicores_per_core)};
+    }
+
+    [[nodiscard]] fleet::outlets fleet_outlets() {
+        return {[this](const std::string& ip, const std::string_view bytes) {
+                    this->datagrams.send(this->peer_endpoint(ip), bytes);
+                },
+                [this](const std::string& ip, std::function<void(std::string&&)> done) {
+                    this->documents.fetch(ip, "/members", std::move(done));
+                }};
+    }
+
     [[nodiscard]] peer_record describe_self() const {
         peer_record record{};
         record.incarnation = this->incarnation;
-        record.name = this->configuration.instance_name;
-        record.ip = this->configuration.ip;
-        record.zone = this->configuration.zone;
-        record.region = this->configuration.region;
-        record.caller_endpoint = this->configuration.caller_endpoint;
+        record.identity = this->identity;
         record.ready = this->ready();
         this->follower.describe(record);
         return record;
     }
 
-    /*! @brief Returns the place among the live instances; the last names read, as the first are named to callers. */
-    [[nodiscard]] std::size_t place_in_line() const {
-        std::size_t place = 0U;
-        for (const auto& item : this->members.live()) {
-            place += item.record.name > this->configuration.instance_name ? 1U : 0U;
-        }
-        return place;
-    }
-
     // Calls from outside
 
     [[nodiscard]] http_limits caller_bounds() const {
@@ -182,17 +188,8 @@
             exchange.answer(internal::text_reply(404, ""));
             return;
         }
-        std::vector<peer_record> usable{};
-        if (this->ready()) {
-            usable.push_back(this->describe_self());
-        }
-        for (auto& item : this->members.live()) {
-            if (item.record.ready) {
-                usable.push_back(std::move(item.record));
-            }
-        }
-        const auto chosen =
-            choose_addresses(usable, query->host, query->region, query->zone, internal::addresses_per_zone);
+        const auto chosen = choose_addresses(this->members.leaders(), query->region, query->zone,
+                                             internal::addresses_per_zone);
         if (chosen.empty()) {
             exchange.answer(internal::text_reply(503, ""));
             return;
@@ -223,19 +220,24 @@
             reply.body = encode_config(this->follower.config());
         } else if (exchange.request().path == "/targets" && this->follower.informed()) {
             reply.body = encode_targets(this->follower.listed());
+        } else if (exchange.request().path == "/members") {
+            reply.body = this->encode_known();
         } else {
             reply.status = 404;
         }
         exchange.answer(reply);
     }
 
+    [[nodiscard]] std::string encode_known() const {
+        auto known = this->members.members();
+        known.push_back({this->describe_self(), duration::zero()});
+        return encode_members(known);
+    }
+
     [[nodiscard]] nlohmann::json describe() const {
-        auto live = nlohmann::json::array();
-        for (const auto& item : this->members.live()) {
-            live.push_back({{"name", item.record.name},
-                            {"ip", item.record.ip},
-                            {"ready", item.record.ready},
-                            {"config_revision", item.record.config_revision}});
+        auto leaders = nlohmann::json::array();
+        for (const auto& record : this->members.leaders()) {
+            leaders.push_back({{"name", record.identity.name}, {"config_revision", record.config_revision}});
         }
         return {{"instance", this->configuration.instance_name},
                 {"incarnation", this->incarnation},
@@ -247,7 +249,8 @@
                 {"platform_calls", this->platform.store->calls()},
                 {"caller_connections", this->callers.connections()},
                 {"log_lines_dropped", this->log.dropped()},
-                {"peers", std::move(live)},
+                {"known_instances", this->members.size()},
+                {"leaders", std::move(leaders)},
                 {"forwarding", this->requests.describe()}};
     }
 
@@ -264,18 +267,19 @@
 
     /*! @brief Gives this instance its part of the budgets that all instances share. */
     void share_budgets() {
-        const auto live = this->members.live();
-        std::vector<std::string> zones{this->configuration.zone};
-        for (const auto& item : live) {
-            if (std::find(zones.begin(), zones.end(), item.record.zone) == zones.end()) {
-                zones.push_back(item.record.zone);
+        const auto leaders = this->members.leaders();
+        std::vector<std::string> zones{};
+        for (const auto& record : leaders) {
+            if (std::find(zones.begin(), zones.end(), record.identity.zone) == zones.end()) {
+                zones.push_back(record.identity.zone);
             }
         }
-        const auto probing = std::min(live.size() + 1U, zones.size() * internal::probing_instances_per_zone);
+        // Callers use the named leaders; others send requests only for a moment after a change.
+        const auto sending = std::max<std::size_t>(zones.size() * internal::sending_instances_per_zone, 1U);
         this->requests.configure(
             {this->configuration.repeat_ratio, this->configuration.repeat_slack, this->configuration.repeat_window},
-            live.size() + 1U,
-            this->configuration.probes_per_target * internal::usable_part_of_probes / static_cast<double>(probing));
+            std::min(sending, this->members.size()),
+            this->configuration.probes_per_target * internal::usable_part_of_probes / static_cast<double>(sending));
     }
 
     void reload() {
@@ -322,7 +326,7 @@
         if (this->ready() != this->ready_before) {
             this->ready_before = this->ready();
             this->log.change("readiness_changed", {{"ready", this->ready_before ? "yes" : "no"}});
-            this->members.announce();
+            this->members.introduce();
         }
     }
 
@@ -330,7 +334,7 @@
         this->stopping = true;
         this->log.change("stop_requested", {{"open_requests", std::to_string(this->requests.open())},
                                             {"connections", std::to_string(this->callers.connections())}});
-        this->members.announce();
+        this->members.introduce();
         this->callers.close_after_answers();
         const auto part = [this](const double share) {
             return std::chrono::duration_cast<duration>(this->configuration.stop_time * share);
--- a/src/mangopulley/gateway/gateway_settings.cpp
+++ b/src/mangopulley/gateway/gateway_settings.cpp
@@ -50,11 +50,13 @@
 }
 
 [[nodiscard]] result<void> read_gateway_instance(const yaml_value& value, gateway_settings& target) {
-    static constexpr std::array<yaml_field<gateway_settings>, 4U> fields{
+    static constexpr std::array<yaml_field<gateway_settings>, 6U> fields{
         {{"name", true, read_name<&gateway_settings::instance_name>},
          {"ip", true, read_own_ip},
          {"zone", true, read_name<&gateway_settings::zone>},
-         {"region", true, read_name<&gateway_settings::region>}}};
+         {"region", true, read_name<&gateway_settings::region>},
+         {"cpu_share", false, read_real<&gateway_settings::cpu_share>},
+         {"cpu_cores", false, read_real<&gateway_settings::cpu_cores>}}};
     return value.read_map(target, fields);
 }
 
--- a/src/mangopulley/gateway/gateway_settings.hpp
+++ b/src/mangopulley/gateway/gateway_settings.hpp
@@ -16,6 +16,9 @@
     std::string ip{};
     std::string zone{};
     std::string region{};
+    /*! @brief Share of a core, and how many times as fast as usual that core is. */
+    double cpu_share{1.0};
+    double cpu_cores{1.0};
     /*! @brief Addresses to listen on, `ip:port`: callers' requests, readiness, look-ups, operators, other instances. */
     std::string caller_endpoint{};
     std::string readiness_endpoint{};
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-constexpr std::uint64_t heartbeat_format = 1U;
-constexpr std::uint32_t heartbeat_fields = 14U;
-constexpr std::uint32_t most_known_ips = 4'096U;
+constexpr std::uint64_t peer_format = 2U;
+constexpr std::uint32_t message_fields = 11U;
+constexpr std::uint32_t introduction_fields = 6U;
+constexpr std::uint32_t member_fields = 9U;
+constexpr std::uint32_t most_members = 16'384U;
 
 void write_age(message_writer& writer, const duration age) {
     writer.number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(age).count()));
@@ -23,52 +25,93 @@
     return std::chrono::microseconds{std::min(reader.number(), longest_us)};
 }
 
+void write_identity(message_writer& writer, const instance_identity& identity) {
+    writer.text(identity.name).text(identity.ip).text(identity.zone).text(identity.region);
+    writer.text(identity.caller_endpoint).number(identity.millicores);
+}
+
+[[nodiscard]] instance_identity read_identity(message_reader& reader) {
+    instance_identity identity{};
+    identity.name = reader.text();
+    identity.ip = reader.text();
+    identity.zone = reader.text();
+    identity.region = reader.text();
+    identity.caller_endpoint = reader.text();
+    identity.millicores = static_cast<std::uint32_t>(reader.number());
+    return identity;
+}
+
 } // namespace
 
 } // namespace internal
 
-std::string encode_peer_record(const peer_record& record) {
+std::string encode_peer_message(const heartbeat_message& message) {
+    const auto& record = message.record;
     message_writer writer{};
-    writer.array(internal::heartbeat_fields).number(internal::heartbeat_format).number(record.incarnation);
-    writer.text(record.name).text(record.ip).text(record.zone).text(record.region).text(record.caller_endpoint);
-    writer.boolean(record.ready).number(record.config_revision);
+    writer.array(internal::message_fields).number(internal::peer_format).number(record.incarnation);
+    writer.boolean(record.ready).boolean(message.asks).number(message.members_digest);
+    writer.number(record.config_revision);
     internal::write_age(writer, record.config_age);
     writer.number(record.targets_revision).number(record.targets_digest);
     internal::write_age(writer, record.targets_age);
-    writer.array(static_cast<std::uint32_t>(record.known_ips.size()));
-    for (const auto& ip : record.known_ips) {
-        writer.text(ip);
+    writer.array(message.introduces ? internal::introduction_fields : 0U);
+    if (message.introduces) {
+        internal::write_identity(writer, record.identity);
     }
     return writer.take();
 }
 
-std::optional<peer_record> decode_peer_record(const std::string_view bytes) {
+std::optional<heartbeat_message> decode_peer_message(const std::string_view bytes) {
     message_reader reader{bytes};
-    if (reader.array(internal::heartbeat_fields) != internal::heartbeat_fields ||
-        reader.number() != internal::heartbeat_format) {
+    if (reader.array(internal::message_fields) != internal::message_fields ||
+        reader.number() != internal::peer_format) {
         return std::nullopt;
     }
-    peer_record record{};
+    heartbeat_message message{};
+    auto& record = message.record;
     record.incarnation = reader.number();
-    record.name = reader.text();
-    record.ip = reader.text();
-    record.zone = reader.text();
-    record.region = reader.text();
-    record.caller_endpoint = reader.text();
     record.ready = reader.boolean();
+    message.asks = reader.boolean();
+    message.members_digest = reader.number();
     record.config_revision = reader.number();
     record.config_age = internal::read_age(reader);
     record.targets_revision = reader.number();
     record.targets_digest = reader.number();
     record.targets_age = internal::read_age(reader);
-    const auto count = reader.array(internal::most_known_ips);
-    for (std::uint32_t index = 0U; index < count && reader.valid(); ++index) {
-        record.known_ips.push_back(reader.text());
+    message.introduces = reader.array(internal::introduction_fields) == internal::introduction_fields;
+    if (message.introduces) {
+        record.identity = internal::read_identity(reader);
     }
-    if (!reader.valid() || !reader.finished()) {
-        return std::nullopt;
+    return reader.valid() && reader.finished() ? std::optional{std::move(message)} : std::nullopt;
+}
+
+std::string encode_members(const std::vector<known_instance>& members) {
+    message_writer writer{};
+    writer.array(static_cast<std::uint32_t>(members.size()));
+    for (const auto& member : members) {
+        writer.array(internal::member_fields).number(member.record.incarnation).boolean(member.record.ready);
+        internal::write_age(writer, member.silence);
+        internal::write_identity(writer, member.record.identity);
+    }
+    return writer.take();
+}
+
+std::optional<std::vector<known_instance>> decode_members(const std::string_view bytes) {
+    message_reader reader{bytes};
+    std::vector<known_instance> members{};
+    const auto count = reader.array(internal::most_members);
+    for (std::uint32_t index = 0U; index < count && reader.valid(); ++index) {
+        known_instance member{};
+        if (reader.array(internal::member_fields) != internal::member_fields) {
+            return std::nullopt;
+        }
+        member.record.incarnation = reader.number();
+        member.record.ready = reader.boolean();
+        member.silence = internal::read_age(reader);
+        member.record.identity = internal::read_identity(reader);
+        members.push_back(std::move(member));
     }
-    return record;
+    return reader.valid() && reader.finished() ? std::optional{std::move(members)} : std::nullopt;
 }
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -10,15 +10,22 @@
 
 namespace mangopulley {
 
-/*! @brief What an instance says of itself in its heartbeats. */
-struct peer_record {
-    std::uint64_t incarnation{};
+/*! @brief What stays the same about an instance while it runs. */
+struct instance_identity {
     std::string name{};
     std::string ip{};
     std::string zone{};
     std::string region{};
     /*! @brief Address for callers, `ip:port`. */
     std::string caller_endpoint{};
+    /*! @brief Processor share in thousandths of a core. */
+    std::uint32_t millicores{};
+};
+
+/*! @brief What an instance says of itself in its heartbeats. */
+struct peer_record {
+    std::uint64_t incarnation{};
+    instance_identity identity{};
     /*! @brief Whether callers may be sent to the instance. */
     bool ready{};
     std::uint64_t config_revision{};
@@ -28,13 +35,31 @@
     std::uint64_t targets_digest{};
     /*! @brief Age of the instance's list of targets. */
     duration targets_age{};
-    /*! @brief Addresses of the instances that it has heard from lately. */
-    std::vector<std::string> known_ips{};
 };
 
-/*! @brief Encodes a heartbeat. */
-[[nodiscard]] std::string encode_peer_record(const peer_record& record);
-/*! @brief Decodes a heartbeat; nothing when the bytes are none. */
-[[nodiscard]] std::optional<peer_record> decode_peer_record(std::string_view bytes);
+/*! @brief One datagram between instances. */
+struct heartbeat_message {
+    peer_record record{};
+    /*! @brief Whether `record.identity` is filled in; most heartbeats leave it out to save bytes. */
+    bool introduces{};
+    /*! @brief Whether the receiver shall introduce itself. */
+    bool asks{};
+    /*! @brief Digest of the instances that the sender knows; 0 when it is not told. */
+    std::uint64_t members_digest{};
+};
+
+/*! @brief Instance as another one knows it. */
+struct known_instance {
+    peer_record record{};
+    /*! @brief Time since it was heard from. */
+    duration silence{};
+};
+
+[[nodiscard]] std::string encode_peer_message(const heartbeat_message& message);
+/*! @brief Decodes a datagram; nothing when the bytes are none. */
+[[nodiscard]] std::optional<heartbeat_message> decode_peer_message(std::string_view bytes);
+[[nodiscard]] std::string encode_members(const std::vector<known_instance>& members);
+/*! @brief Decodes a list of instances; nothing when the bytes are none. */
+[[nodiscard]] std::optional<std::vector<known_instance>> decode_members(std::string_view bytes);
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -207,13 +207,13 @@
 
     // What other instances know
 
-    void hear(const peer_record& record) {
+    void hear(const std::string& ip, const peer_record& record) {
         const auto time = this->now();
-        this->hear_config(record, time);
-        this->hear_targets(record, time);
+        this->hear_config(ip, record, time);
+        this->hear_targets(ip, record, time);
     }
 
-    void hear_config(const peer_record& record, const time_point time) {
+    void hear_config(const std::string& ip, const peer_record& record, const time_point time) {
         const auto as_of = time - record.config_age;
         if (record.config_revision == 0U || this->configs.fetching) {
             return;
@@ -222,7 +222,7 @@
             this->configs.as_of = std::max(this->configs.as_of.value_or(as_of), as_of);
         } else if (record.config_revision > this->config.revision) {
             this->configs.fetching = true;
-            this->environment.fetch(record.ip, "/config", [this, as_of, ip = record.ip](std::string&& bytes) {
+            this->environment.fetch(ip, "/config", [this, as_of, ip](std::string&& bytes) {
                 this->configs.fetching = false;
                 if (auto found = decode_config(bytes)) {
                     this->take_config(std::move(*found), as_of, ip);
@@ -231,7 +231,7 @@
         }
     }
 
-    void hear_targets(const peer_record& record, const time_point time) {
+    void hear_targets(const std::string& ip, const peer_record& record, const time_point time) {
         const auto as_of = time - record.targets_age;
         if (record.targets_revision == 0U || this->targets.fetching ||
             (this->targets.as_of && as_of <= *this->targets.as_of)) {
@@ -245,7 +245,7 @@
             return;
         }
         this->targets.fetching = true;
-        this->environment.fetch(record.ip, "/targets", [this, as_of, ip = record.ip](std::string&& bytes) {
+        this->environment.fetch(ip, "/targets", [this, as_of, ip](std::string&& bytes) {
             this->targets.fetching = false;
             if (auto found = decode_targets(bytes)) {
                 this->take_targets(std::move(*found), as_of, ip);
@@ -267,8 +267,8 @@
     state.timer = state.environment.loop.every(internal::follow_period, [&state] { state.follow(); });
 }
 
-void platform_follower::hear(const peer_record& record) {
-    this->self->hear(record);
+void platform_follower::hear(const std::string& ip, const peer_record& record) {
+    this->self->hear(ip, record);
 }
 
 void platform_follower::describe(peer_record& record) const {
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -65,7 +65,7 @@
 
     void start();
     /*! @brief Takes in what another instance says it knows. */
-    void hear(const peer_record& record);
+    void hear(const std::string& ip, const peer_record& record);
 
     /*! @brief Fills in the revisions and ages for a heartbeat. */
     void describe(peer_record& record) const;
