Share counts of requests in flight; serve the newest first when overloaded

In the line, the order of goals served each request just when it had become late.

Now the named leaders tell each other their counts every 4 ms, a line whose oldest request has used a fifth of its time takes the newest goal first, and a caller that asks again is known by the time it has left.

--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -13,6 +13,7 @@
 #include "../http/field_names.hpp"
 #include "forwarded_head.hpp"
 #include "load_prober.hpp"
+#include "shared_load.hpp"
 #include "transaction.hpp"
 
 namespace mangopulley {
@@ -107,6 +108,12 @@
     std::size_t instances{1U};
     double probes_per_target{0.0};
     std::uint64_t last_attempt{};
+    std::function<void(std::uint32_t, std::uint32_t)> load_changed{};
+    /*! @brief Targets by their keys in `shared_load`, and the counts of others, also of targets not yet listed. */
+    std::unordered_map<std::uint32_t, target_pool::handle> by_key{};
+    std::unordered_map<std::uint32_t, std::uint32_t> foreign{};
+    /*! @brief Longest time that callers of a route were seen to wait; less is left when they ask again. */
+    std::unordered_map<std::string, duration> longest_wait{};
     timer_id advance_timer{};
     timer_id prune_timer{};
 
@@ -183,6 +190,7 @@
             return;
         }
         item->deadline = std::min(item->deadline, item->arrived + item->selected->time_limit);
+        item->goal = item->arrived + item->selected->latency_goal - this->spent_before(*item);
         item->service = std::string{this->environment.routes.next_service(*item->selected)};
         this->admit(item);
     }
@@ -202,7 +210,7 @@
         ticket->id = item->facts.id;
         ticket->priority = item->selected->priority;
         ticket->arrived = this->now();
-        ticket->goal = item->arrived + item->selected->latency_goal;
+        ticket->goal = item->goal;
         ticket->deadline = item->deadline;
         ticket->work = this->usual_work(*item->selected);
         ticket->tried = item->tried;
@@ -210,6 +218,16 @@
         this->service(item->service).scheduler->submit(ticket, this->now());
     }
 
+    /*! @brief Returns how long a caller has waited with earlier attempts, judged by the time it has left. */
+    [[nodiscard]] duration spent_before(const internal::transaction& item) {
+        if (!item.facts.time_left) {
+            return duration::zero();
+        }
+        auto& longest = this->longest_wait[item.selected->name];
+        longest = std::max(longest, *item.facts.time_left);
+        return longest - *item.facts.time_left;
+    }
+
     [[nodiscard]] duration usual_work(const route& selected) const {
         const auto position = this->work.find(selected.name);
         if (position != this->work.end()) {
@@ -235,6 +253,7 @@
             pool.end(*target, send_outcome::unused, std::nullopt, time);
             return;
         }
+        this->tell_load(*target);
         internal::attempt sent{};
         sent.number = ++this->last_attempt;
         sent.target = target;
@@ -266,6 +285,12 @@
         this->plan_second_send(item, expected);
     }
 
+    void tell_load(const pool_target& target) const {
+        if (this->load_changed) {
+            this->load_changed(shared_load::key_of(target.listing.id), target.in_flight);
+        }
+    }
+
     void plan_second_send(const internal::transaction_pointer& item, const duration expected) {
         if (!item->selected->idempotent || item->second_send_timer != 0U) {
             return;
@@ -308,6 +333,7 @@
         const auto position = this->services.find(service);
         if (position != this->services.end()) {
             position->second.scheduler->targets().end(*sent.target, outcome, load, this->now());
+            this->tell_load(*sent.target);
             if (outcome == send_outcome::answered) {
                 position->second.scheduler->note_completion(this->now() - sent.begun);
             }
@@ -616,9 +642,11 @@
         for (const auto& target : list.targets) {
             by_service[target.service].push_back(target);
         }
+        this->by_key.clear();
         for (const auto& [name, targets] : by_service) {
             auto& state = this->service(name);
             state.scheduler->targets().update(targets, this->now());
+            this->index(state.scheduler->targets());
             for (const auto& record : this->environment.routes.current()->services) {
                 if (record.name == name) {
                     state.health_path = record.health_path;
@@ -628,6 +656,27 @@
         this->advance();
     }
 
+    void index(const target_pool& pool) {
+        for (const auto& target : pool.targets()) {
+            const auto key = shared_load::key_of(target->listing.id);
+            const auto known = this->foreign.find(key);
+            target->foreign = known == this->foreign.end() ? 0U : known->second;
+            this->by_key[key] = target;
+        }
+    }
+
+    void set_foreign(const std::uint32_t key, const std::uint32_t count) {
+        if (count == 0U) {
+            this->foreign.erase(key);
+        } else {
+            this->foreign[key] = count;
+        }
+        const auto position = this->by_key.find(key);
+        if (position != this->by_key.end()) {
+            position->second->foreign = count;
+        }
+    }
+
     [[nodiscard]] nlohmann::json describe_target(const target_pool& pool, const pool_target& target) const {
         const auto time = this->now();
         return {{"id", target.listing.id},
@@ -655,6 +704,14 @@
     this->self->update_targets(list);
 }
 
+void forwarder::set_foreign(const std::uint32_t key, const std::uint32_t foreign) {
+    this->self->set_foreign(key, foreign);
+}
+
+void forwarder::on_load_change(std::function<void(std::uint32_t, std::uint32_t)> action) {
+    this->self->load_changed = std::move(action);
+}
+
 void forwarder::configure(const repeat_rule& repeats, const std::size_t instances, const double probes_per_target) {
     auto& state = *this->self;
     state.repeats = repeats;
--- a/src/mangopulley/gateway/forwarder.hpp
+++ b/src/mangopulley/gateway/forwarder.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -61,6 +63,10 @@
     void handle(const std::shared_ptr<caller_exchange>& exchange);
     /*! @brief Takes over the targets of all services. */
     void update_targets(const target_list& list);
+    /*! @brief Replaces what other instances have in flight at a target, named by its key in `shared_load`. */
+    void set_foreign(std::uint32_t key, std::uint32_t foreign);
+    /*! @brief Sets what is called with a target's key and count when the own requests in flight there change. */
+    void on_load_change(std::function<void(std::uint32_t key, std::uint32_t in_flight)> action);
     /*! @brief Replaces the rule for second sends, the number of instances that share it, and the rate of probes. */
     void configure(const repeat_rule& repeats, std::size_t instances, double probes_per_target);
 
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,7 @@
 #include "platform_adapter.hpp"
 #include "platform_follower.hpp"
 #include "route_table.hpp"
+#include "shared_load.hpp"
 
 namespace mangopulley {
 
@@ -33,6 +35,9 @@
 // Short enough that callers leave a stopping instance before it ends, also those that keep a list three times as long.
 constexpr duration list_lifetime{std::chrono::milliseconds{1'300}};
 constexpr duration peer_fetch_timeout{std::chrono::milliseconds{500}};
+// Changed counts of requests in flight are sent at this period; a target's answer takes many times longer.
+constexpr duration load_period{std::chrono::milliseconds{4}};
+constexpr duration full_load_period{std::chrono::milliseconds{250}};
 constexpr duration settings_period{std::chrono::seconds{1}};
 constexpr duration expiry_period{std::chrono::milliseconds{100}};
 constexpr duration signal_period{std::chrono::milliseconds{40}};
@@ -40,9 +45,9 @@
 constexpr double serving_share_of_stop = 0.75;
 constexpr double answering_share_of_stop = 0.93;
 // Part of the fleet's budget of probes that is given out; the rest covers instances that disagree on their number.
-constexpr double usable_part_of_probes = 0.5;
-// Named leaders of a zone, and one more while callers move from one to another.
-constexpr std::size_t sending_instances_per_zone = 3U;
+constexpr double usable_part_of_probes = 0.7;
+// Named leaders of a zone; others send requests only for a moment after a change.
+constexpr std::size_t sending_instances_per_zone = 2U;
 
 [[nodiscard]] std::string ip_of(const std::string& endpoint) {
     return endpoint.substr(0U, endpoint.rfind(':'));
@@ -71,6 +76,8 @@
     std::atomic<bool> reload_requested{};
     bool stopping{};
     bool ready_before{};
+    /*! @brief Other instances that callers are told. */
+    std::vector<std::string> named{};
 
     event_loop loop{this->time};
     decision_log log{"gateway", this->time, internal::most_request_lines_per_second};
@@ -82,9 +89,14 @@
                        scheduling_rule{},
                        forwarding_rule{}};
     peer_fetcher documents{this->loop, this->configuration.peer_port, internal::peer_fetch_timeout};
+    shared_load loads{[this](const std::uint32_t key, const std::uint32_t foreign) {
+        this->requests.set_foreign(key, foreign);
+    }};
     datagram_port datagrams{this->loop, this->peer_endpoint(this->configuration.ip),
                             [this](const std::string_view ip, const std::string_view bytes) {
-                                this->members.receive(ip, bytes);
+                                if (!this->loads.receive(ip, bytes, this->loop.now())) {
+                                    this->members.receive(ip, bytes);
+                                }
                             }};
     fleet members{this->loop, fleet_rule{}, this->fleet_outlets(), [this] { return this->describe_self(); },
                   [this](const std::string& ip, const peer_record& record) { this->follower.hear(ip, record); }};
@@ -105,6 +117,8 @@
         : configuration{std::move(values)}, time{source},
           read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
         this->settings_text = this->read_settings();
+        this->requests.on_load_change(
+            [this](const std::uint32_t key, const std::uint32_t in_flight) { this->loads.note(key, in_flight); });
         this->apply_settings();
     }
 
@@ -164,6 +178,24 @@
         return record;
     }
 
+    /*! @brief Finds the other instances that callers are told, and so share the targets with this one. */
+    void find_named() {
+        std::map<std::string, std::size_t> per_zone{};
+        this->named.clear();
+        for (const auto& record : this->members.leaders()) {
+            if (++per_zone[record.identity.zone] <= internal::addresses_per_zone &&
+                record.identity.ip != this->identity.ip) {
+                this->named.push_back(record.identity.ip);
+            }
+        }
+    }
+
+    void tell_named(const std::string& bytes) {
+        for (const auto& ip : this->named) {
+            this->datagrams.send(this->peer_endpoint(ip), bytes);
+        }
+    }
+
     // Calls from outside
 
     [[nodiscard]] http_limits caller_bounds() const {
@@ -274,7 +306,6 @@
                 zones.push_back(record.identity.zone);
             }
         }
-        // Callers use the named leaders; others send requests only for a moment after a change.
         const auto sending = std::max<std::size_t>(zones.size() * internal::sending_instances_per_zone, 1U);
         this->requests.configure(
             {this->configuration.repeat_ratio, this->configuration.repeat_slack, this->configuration.repeat_window},
@@ -359,6 +390,18 @@
         this->members.start();
         this->follower.start();
         this->loop.every(internal::signal_period, [this] { this->watch_signals(); });
+        this->loop.every(internal::load_period, [this] {
+            if (const auto changes = this->loads.take_changes()) {
+                this->tell_named(*changes);
+            }
+        });
+        this->loop.every(internal::full_load_period, [this] {
+            this->loads.expire(this->loop.now());
+            this->find_named();
+            if (this->requests.open() > 0U) {
+                this->tell_named(this->loads.all());
+            }
+        });
         this->loop.every(internal::settings_period, [this] {
             this->reload();
             this->share_budgets();
--- a/src/mangopulley/gateway/request_scheduler.cpp
+++ b/src/mangopulley/gateway/request_scheduler.cpp
@@ -82,18 +82,34 @@
 
     [[nodiscard]] static duration no_target_time() noexcept { return internal::no_target_retry_after; }
 
-    /*! @brief Orders requests that can still meet their goal before late ones, then by priority, then by goal. */
+    /*!
+     * @brief Orders requests that can still meet their goal before late ones, then by priority, then by goal.
+     *
+     * While the line is overloaded the latest goal comes first: in the order of goals every request would be served
+     * just when it has become late. Answers the load of a burst above the service's capacity.
+     */
     void sort(const time_point now) {
         const auto late = [this, now](const request& item) {
-            return now + this->scaled(item->work, this->rule.least_work) > item->goal;
+            return now + this->scaled(item->work, this->rule.late_margin) > item->goal;
         };
-        std::stable_sort(this->line.begin(), this->line.end(), [&late](const request& left, const request& right) {
+        const bool overloaded = this->overloaded(now);
+        std::stable_sort(this->line.begin(), this->line.end(), [&](const request& left, const request& right) {
             const bool left_late = late(left);
             const bool right_late = late(right);
             if (left_late != right_late) {
                 return right_late;
             }
-            return left->priority != right->priority ? left->priority < right->priority : left->goal < right->goal;
+            if (left->priority != right->priority) {
+                return left->priority < right->priority;
+            }
+            return overloaded ? left->goal > right->goal : left->goal < right->goal;
+        });
+    }
+
+    /*! @brief Tells whether the oldest request has used up so much of its time that not all can meet their goals. */
+    [[nodiscard]] bool overloaded(const time_point now) const noexcept {
+        return std::any_of(this->line.begin(), this->line.end(), [this, now](const request& item) {
+            return now - item->arrived > this->scaled(item->goal - item->arrived, this->rule.overload_share);
         });
     }
 
--- a/src/mangopulley/gateway/request_scheduler.hpp
+++ b/src/mangopulley/gateway/request_scheduler.hpp
@@ -16,6 +16,7 @@
     std::string id{};
     /*! @brief Rank; 0 is the highest. */
     std::uint32_t priority{};
+    /*! @brief When it entered the line. */
     time_point arrived{};
     /*! @brief An answer until then earns its full worth. */
     time_point goal{};
@@ -50,11 +51,15 @@
     /*! @brief Longest time that a request waits for the first load reading. */
     duration longest_scouting{std::chrono::milliseconds{15}};
     /*! @brief An answer time up to this multiple of the usual work is accepted without looking further. */
-    double good_enough{1.3};
+    double good_enough{1.6};
     /*! @brief A request waits for a faster target while its time to the goal is above this multiple of its work. */
     double waiting_margin{1.6};
     /*! @brief Share of the usual work time below which no answer can be expected before the deadline. */
     double least_work{0.6};
+    /*! @brief A request with less than this multiple of its work left to its goal counts as late. */
+    double late_margin{1.1};
+    /*! @brief The line counts as overloaded when its wait is above this share of the time to the goal. */
+    double overload_share{0.2};
     /*! @brief Probes of one target in a second that this instance may send. */
     double probes_per_target{8.0};
 };
--- a/src/mangopulley/gateway/target_pool.cpp
+++ b/src/mangopulley/gateway/target_pool.cpp
@@ -61,15 +61,17 @@
 }
 
 double target_pool::foreign(const pool_target& target, const time_point now) const noexcept {
+    const auto noted = static_cast<double>(target.foreign);
     if (!target.reading) {
-        return 0.0;
+        return noted;
     }
     const auto reported = target.reading->running + target.reading->waiting;
     if (reported <= target.in_flight_at_reading) {
-        return 0.0;
+        return noted;
     }
-    return static_cast<double>(reported - target.in_flight_at_reading) *
-           internal::fading(target.reading_age(now), internal::foreign_memory);
+    const auto seen = static_cast<double>(reported - target.in_flight_at_reading) *
+                      internal::fading(target.reading_age(now), internal::foreign_memory);
+    return std::max(noted, seen);
 }
 
 bool target_pool::is_free(const pool_target& target, const time_point now) const noexcept {
--- a/src/mangopulley/gateway/target_pool.hpp
+++ b/src/mangopulley/gateway/target_pool.hpp
@@ -39,6 +39,8 @@
     std::optional<load_reading> reading{};
     time_point read_at{};
     std::uint32_t in_flight_at_reading{};
+    /*! @brief Requests that other instances say they have in flight. */
+    std::uint32_t foreign{};
     /*! @brief Smoothed share of failures, from 0 to 1. */
     double failure_share{};
     std::uint32_t failures_in_row{};
@@ -145,6 +147,7 @@
     [[nodiscard]] double slowness(const pool_target& target, time_point now) const noexcept;
 
 private:
+    /*! @brief Returns the requests of others at a target, as they say themselves or as the target reported. */
     [[nodiscard]] double foreign(const pool_target& target, time_point now) const noexcept;
     [[nodiscard]] bool is_free(const pool_target& target, time_point now) const noexcept;
     [[nodiscard]] duration expected(const pool_target& target, duration work, time_point now) const noexcept;
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -41,6 +41,8 @@
     const route* selected{};
     std::string service{};
     time_point arrived{};
+    /*! @brief An answer until then earns its full worth, counted from the caller's first attempt. */
+    time_point goal{};
     time_point deadline{};
     std::uint32_t sends{};
     std::uint32_t failed_connects{};
