--- a/src/mangopulley/gateway/request_scheduler.cpp
+++ b/src/mangopulley/gateway/request_scheduler.cpp
@@ -113,15 +113,31 @@
         });
     }
 
+    /*! @brief Returns why a request has no hope of a useful answer, if it has none. */
+    [[nodiscard]] std::optional<refusal_reason> hopeless(const waiting_request& item, const bool crowded,
+                                                         const time_point now) const {
+        if (!this->pool.has_usable(item.tried)) {
+            return refusal_reason::no_target;
+        }
+        if (now + this->scaled(item.work, this->rule.least_work) > item.deadline) {
+            return refusal_reason::out_of_time;
+        }
+        // Requests that can meet their goal take every slot of a crowded line; a late one would wait for nothing.
+        if (crowded && now + this->scaled(item.work, this->rule.late_margin) > item.goal) {
+            return refusal_reason::overloaded;
+        }
+        return std::nullopt;
+    }
+
     void drop_hopeless(const time_point now) {
         std::vector<std::pair<request, refusal_reason>> dropped{};
+        const bool crowded = this->overloaded(now);
         std::erase_if(this->line, [&](const request& item) {
-            const bool late = now + this->scaled(item->work, this->rule.least_work) > item->deadline;
-            const bool alone = !this->pool.has_usable(item->tried);
-            if (late || alone) {
-                dropped.emplace_back(item, alone ? refusal_reason::no_target : refusal_reason::out_of_time);
+            const auto reason = this->hopeless(*item, crowded, now);
+            if (reason) {
+                dropped.emplace_back(item, *reason);
             }
-            return late || alone;
+            return reason.has_value();
         });
         for (const auto& [item, reason] : dropped) {
             this->outlets.refuse(item, this->refuse_for(reason, this->wait_behind(this->line.size())));
