--- /dev/null
+++ b/test/mangopulley/gateway/caller_port.cpp
@@ -0,0 +1,128 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <mangopulley/gateway/caller_port.hpp>
+#include <mangopulley/loop/stream.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(caller_port) {
+    system_clock_source time{};
+    event_loop loop{time};
+    http_limits limits{};
+    std::vector<std::shared_ptr<caller_exchange>> waiting{};
+    bool answer_at_once{true};
+    std::unique_ptr<caller_port> port{};
+    std::unique_ptr<stream> caller{};
+    std::string received{};
+    bool closed{};
+
+    void setup() override { limits.accept_chunked = true; }
+
+    void teardown() override {
+        waiting.clear();
+        caller.reset();
+        port.reset();
+    }
+
+    void open() {
+        port = std::make_unique<caller_port>(
+            loop, "127.0.0.1:0", [this] { return limits; },
+            [this](const std::shared_ptr<caller_exchange>& exchange) {
+                waiting.push_back(exchange);
+                if (answer_at_once) {
+                    exchange->answer("HTTP/1.1 200 OK\r\n", exchange->request().path, false);
+                }
+            });
+        stream::events events{};
+        events.received = [this](const std::string_view bytes) { received.append(bytes); };
+        events.closed = [this](bool) { closed = true; };
+        boost::leaf::try_handle_all(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(caller, stream::connect(loop, "127.0.0.1:" + std::to_string(port->port()),
+                                                          stream_timing{}, std::move(events)));
+                return {};
+            },
+            [] { FAIL("no connection"); });
+    }
+
+    template <typename Condition>
+    void await(Condition condition) {
+        const auto latest = time.now() + seconds{10};
+        while (!condition() && time.now() < latest) {
+            loop.turn(milliseconds{5});
+            if (port) {
+                port->expire();
+            }
+        }
+        CHECK_TRUE(condition());
+    }
+
+    static std::string get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"; }
+};
+
+// Guards against answers out of the order of their requests on one connection.
+TEST(caller_port, answers_requests_of_a_connection_in_turn) {
+    open();
+    caller->send(get("/1") + get("/2") + get("/3"));
+    await([this] { return waiting.size() == 3U; });
+    await([this] { return received.find("/3") != std::string::npos; });
+    CHECK_TRUE(received.find("/1") < received.find("/2"));
+    CHECK_TRUE(received.find("/2") < received.find("/3"));
+}
+
+// Guards against work for a caller that has closed its connection.
+TEST(caller_port, tells_when_a_waiting_caller_leaves) {
+    answer_at_once = false;
+    open();
+    caller->send(get("/1"));
+    await([this] { return waiting.size() == 1U; });
+    bool gone = false;
+    waiting.front()->on_gone([&gone] { gone = true; });
+    caller.reset();
+    await([&gone] { return gone; });
+    waiting.front()->answer("HTTP/1.1 200 OK\r\n", "late", false);
+    LONGS_EQUAL(0, port->connections());
+}
+
+// Guards against a stop that loses requests already sent or keeps callers on an instance that ends.
+TEST(caller_port, closes_each_connection_after_its_answer_when_leaving) {
+    open();
+    caller->send(get("/1"));
+    await([this] { return received.find("/1") != std::string::npos; });
+    CHECK_FALSE(closed);
+    port->close_after_answers();
+    caller->send(get("/2"));
+    await([this] { return closed; });
+    CHECK_TRUE(received.find("/2") != std::string::npos);
+    CHECK_TRUE(received.find("Connection: close") != std::string::npos);
+}
+
+// Guards against callers that hold a connection by sending slowly or nothing.
+TEST(caller_port, ends_slow_and_idle_connections) {
+    limits.longest_receive = milliseconds{50};
+    limits.longest_idle = milliseconds{50};
+    open();
+    caller->send("GET /1 HT");
+    await([this] { return closed; });
+    CHECK_TRUE(received.find(" 408 ") != std::string::npos);
+    received.clear();
+    closed = false;
+    open();
+    await([this] { return closed; });
+    CHECK_TRUE(received.empty());
+}
+
+// Guards against answers to what is no request.
+TEST(caller_port, rejects_malformed_requests_and_closes) {
+    open();
+    caller->send("GET / HTTP/1.1\r\nBad Header: 1\r\n\r\n" + get("/2"));
+    await([this] { return closed; });
+    CHECK_TRUE(received.find(" 400 ") != std::string::npos);
+    LONGS_EQUAL(0, waiting.size());
+}
--- /dev/null
+++ b/test/mangopulley/gateway/document_codec.cpp
@@ -0,0 +1,76 @@
+#include <string>
+
+#include <mangopulley/gateway/document_codec.hpp>
+#include <mangopulley/gateway/peer_record.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+using std::chrono::milliseconds;
+
+TEST_GROUP(document_codec) {
+    target_list list{7U, {{"t1", 3U, "proof", "10.0.0.1:80", "a", 2U, true, milliseconds{1'500}}}};
+    routing_config config{};
+
+    void setup() override {
+        config.version = 4U;
+        config.revision = 9U;
+        config.routes = {{"r1", "h", "/x/", true, milliseconds{800}, milliseconds{200}, 2U, 2U, {{"proof", 0.5}}}};
+        config.services = {{"proof", "/health", 220U}};
+        config.limits.body_bytes = 5'000U;
+    }
+
+    /*! @brief Checks that no prefix of a text and no single changed byte ends the process. */
+    template <typename Decode>
+    static void check_hostile(const std::string& bytes, Decode decode) {
+        for (std::size_t size = 0U; size < bytes.size(); ++size) {
+            CHECK_FALSE(decode(std::string_view{bytes}.substr(0U, size)).has_value());
+        }
+        for (std::size_t position = 0U; position < bytes.size(); ++position) {
+            for (const int value : {0x00, 0x7F, 0x90, 0xC1, 0xDD, 0xFF}) {
+                auto changed = bytes;
+                changed[position] = static_cast<char>(value);
+                static_cast<void>(decode(changed));
+            }
+        }
+    }
+};
+
+// Guards against instances that hold something else than the one they copied from.
+TEST(document_codec, brings_documents_back_unchanged) {
+    const auto targets = decode_targets(encode_targets(list));
+    CHECK_TRUE(targets.has_value());
+    CHECK_TRUE(targets->revision == list.revision && targets->targets == list.targets);
+    CHECK_TRUE(digest_of(*targets) == digest_of(list));
+    const auto copy = decode_config(encode_config(config));
+    CHECK_TRUE(copy.has_value());
+    CHECK_TRUE(*copy == config);
+}
+
+// Guards against a change of the list that no instance notices, and against copies made for a heartbeat alone.
+TEST(document_codec, digests_what_decides_where_requests_go) {
+    const auto before = digest_of(list);
+    auto warmer = list;
+    warmer.targets[0].warm_up = {};
+    warmer.revision = 99U;
+    CHECK_TRUE(digest_of(warmer) == before);
+    auto staying = list;
+    staying.targets[0].leaving = false;
+    CHECK_FALSE(digest_of(staying) == before);
+    auto again = list;
+    again.targets[0].born = 4U;
+    CHECK_FALSE(digest_of(again) == before);
+}
+
+// Guards against bytes of a foreign or broken sender.
+TEST(document_codec, survives_hostile_bytes) {
+    check_hostile(encode_targets(list), decode_targets);
+    check_hostile(encode_config(config), decode_config);
+    known_instance known{};
+    known.record.identity.name = "i1";
+    check_hostile(encode_members({known}), decode_members);
+    heartbeat_message message{};
+    message.introduces = true;
+    message.record.identity.name = "i1";
+    check_hostile(encode_peer_message(message), decode_peer_message);
+}
--- /dev/null
+++ b/test/mangopulley/gateway/fleet.cpp
@@ -0,0 +1,256 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fake/fake_clock.hpp>
+#include <mangopulley/gateway/fleet.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::choose_addresses;
+using mangopulley::duration;
+using mangopulley::event_loop;
+using mangopulley::fleet;
+using mangopulley::fleet_rule;
+using mangopulley::known_instance;
+using mangopulley::peer_record;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/*! @brief Network of fleets in one process; datagrams arrive with the next step, or are lost. */
+class fleet_network {
+public:
+    struct node {
+        peer_record self{};
+        std::unique_ptr<fleet> members{};
+        bool cut{};
+        std::uint64_t bytes{};
+    };
+
+    explicit fleet_network(const double loss = 0.0) : lost{loss} {}
+
+    node& start(const std::size_t number, const std::uint32_t millicores = 200U) {
+        const auto ip = "10.0.0." + std::to_string(number);
+        auto& item = this->nodes[ip];
+        item = node{};
+        item.self.incarnation = ++this->incarnations;
+        item.self.identity = {"i" + std::to_string(number), ip, std::string{"zone-"} + "abc"[number % 3U], "region",
+                              ip + ":80", millicores};
+        item.self.ready = true;
+        fleet::outlets ways{};
+        ways.send = [this, ip](const std::string& to, const std::string_view bytes) {
+            this->nodes[ip].bytes += bytes.size();
+            if (!this->nodes[ip].cut && this->draw() >= this->lost) {
+                this->queue.push_back({ip, to, std::string{bytes}});
+            }
+        };
+        ways.fetch_members = [this, ip](const std::string& from, std::function<void(std::string&&)> done) {
+            this->loop.after(milliseconds{5}, [this, ip, from, done] { this->fetch(ip, from, done); });
+        };
+        item.members = std::make_unique<fleet>(
+            this->loop, fleet_rule{}, ways, [this, ip] { return this->nodes[ip].self; },
+            [](const std::string&, const peer_record&) {});
+        item.members->set_seeds({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+        item.members->start();
+        return item;
+    }
+
+    void kill(const std::size_t number) { this->nodes.erase("10.0.0." + std::to_string(number)); }
+    node& get(const std::size_t number) { return this->nodes["10.0.0." + std::to_string(number)]; }
+
+    void pass(const duration length) {
+        for (duration done{}; done < length; done += milliseconds{10}) {
+            this->time.advance(milliseconds{10});
+            this->loop.turn(duration::zero());
+            for (const auto& item : std::exchange(this->queue, {})) {
+                const auto to = this->nodes.find(item.to);
+                if (to != this->nodes.end() && to->second.members && !to->second.cut) {
+                    to->second.members->receive(item.from, item.bytes);
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] static std::vector<std::string> names(const std::vector<peer_record>& records) {
+        std::vector<std::string> all{};
+        for (const auto& record : records) {
+            all.push_back(record.identity.name);
+        }
+        return all;
+    }
+
+    [[nodiscard]] bool all_agree() {
+        const auto expected = names(this->nodes.begin()->second.members->leaders());
+        return std::all_of(this->nodes.begin(), this->nodes.end(), [&expected](auto& entry) {
+            return entry.second.cut || names(entry.second.members->leaders()) == expected;
+        });
+    }
+
+    fake::fake_clock time{};
+    event_loop loop{this->time};
+    std::map<std::string, node> nodes{};
+
+private:
+    struct datagram {
+        std::string from;
+        std::string to;
+        std::string bytes;
+    };
+
+    double draw() { return std::uniform_real_distribution<double>{}(this->random); }
+
+    void fetch(const std::string& ip, const std::string& from, const std::function<void(std::string&&)>& done) {
+        const auto source = this->nodes.find(from);
+        if (!this->nodes.contains(ip)) {
+            return;
+        }
+        if (source == this->nodes.end() || source->second.cut || this->nodes[ip].cut) {
+            done({});
+            return;
+        }
+        auto known = source->second.members->members();
+        known.push_back({source->second.self, duration::zero()});
+        done(encode_members(known));
+    }
+
+    double lost;
+    std::mt19937 random{11U};
+    std::uint64_t incarnations{};
+    std::vector<datagram> queue{};
+};
+
+} // namespace
+
+TEST_GROUP(gateway_fleet){};
+
+// Guards against instances that do not find each other when all start at once and datagrams are lost.
+TEST(gateway_fleet, agrees_on_three_leaders_a_zone) {
+    fleet_network network{0.1};
+    for (std::size_t number = 1U; number <= 30U; ++number) {
+        network.start(number);
+    }
+    network.pass(seconds{6});
+    CHECK_TRUE(network.all_agree());
+    LONGS_EQUAL(9, network.get(1U).members->leaders().size());
+    LONGS_EQUAL(30, network.get(17U).members->size());
+}
+
+// Guards against weak machines being named to callers while strong ones are there.
+TEST(gateway_fleet, lets_the_strongest_lead) {
+    fleet_network network{};
+    for (std::size_t number = 1U; number <= 12U; ++number) {
+        network.start(number, number > 9U ? 500U : 100U);
+    }
+    network.pass(seconds{3});
+    for (const auto& record : network.get(1U).members->leaders()) {
+        const bool first_of_zone = record.identity.name == "i10" || record.identity.name == "i11" ||
+                                   record.identity.name == "i12" || record.identity.millicores == 100U;
+        CHECK_TRUE(first_of_zone);
+    }
+    LONGS_EQUAL(500, network.get(1U).members->leaders().front().identity.millicores);
+}
+
+// Guards against callers being sent to an instance that is dead, and against one that stays left out after its return.
+TEST(gateway_fleet, replaces_a_silent_leader_and_takes_it_back) {
+    fleet_network network{};
+    for (std::size_t number = 1U; number <= 15U; ++number) {
+        network.start(number);
+    }
+    network.pass(seconds{4});
+    const auto before = fleet_network::names(network.get(1U).members->leaders());
+    std::size_t victim = 0U;
+    for (std::size_t number = 2U; number <= 15U && victim == 0U; ++number) {
+        if (std::find(before.begin(), before.end(), "i" + std::to_string(number)) != before.end()) {
+            victim = number;
+        }
+    }
+    network.kill(victim);
+    network.pass(seconds{2});
+    const auto without = fleet_network::names(network.get(1U).members->leaders());
+    CHECK_TRUE(std::find(without.begin(), without.end(), "i" + std::to_string(victim)) == without.end());
+    LONGS_EQUAL(9, without.size());
+    CHECK_TRUE(network.all_agree());
+    network.start(victim);
+    network.pass(seconds{4});
+    CHECK_TRUE(network.all_agree());
+    CHECK_TRUE(fleet_network::names(network.get(1U).members->leaders()) == before);
+}
+
+// Guards against a stopping instance that goes on being named until it falls silent.
+TEST(gateway_fleet, drops_an_instance_that_says_it_is_not_ready) {
+    fleet_network network{};
+    for (std::size_t number = 1U; number <= 9U; ++number) {
+        network.start(number);
+    }
+    network.pass(seconds{3});
+    network.get(4U).self.ready = false;
+    network.get(4U).members->introduce();
+    network.pass(milliseconds{50});
+    const auto names = fleet_network::names(network.get(1U).members->leaders());
+    CHECK_TRUE(std::find(names.begin(), names.end(), "i4") == names.end());
+}
+
+// Guards against an instance that names nobody, or only others, while it is cut off, and does not return afterwards.
+TEST(gateway_fleet, leads_alone_while_cut_off) {
+    fleet_network network{};
+    for (std::size_t number = 1U; number <= 9U; ++number) {
+        network.start(number);
+    }
+    network.pass(seconds{3});
+    network.get(5U).cut = true;
+    network.pass(seconds{6});
+    const auto alone = network.get(5U).members->leaders();
+    CHECK_FALSE(alone.empty());
+    const auto names = fleet_network::names(alone);
+    CHECK_TRUE(std::find(names.begin(), names.end(), "i5") != names.end());
+    network.get(5U).cut = false;
+    network.pass(seconds{8});
+    CHECK_TRUE(network.all_agree());
+    LONGS_EQUAL(9, network.get(5U).members->leaders().size());
+}
+
+// Guards against messages that grow with the square of the number of instances: ten times as many instances may cost
+// at most 15 times as many bytes.
+TEST(gateway_fleet, sends_bytes_in_proportion_to_the_instances) {
+    std::uint64_t sent[2]{};
+    for (const std::size_t size : {20U, 200U}) {
+        fleet_network network{};
+        for (std::size_t number = 1U; number <= size; ++number) {
+            network.start(number);
+        }
+        network.pass(seconds{6});
+        for (auto& [ip, item] : network.nodes) {
+            item.bytes = 0U;
+        }
+        network.pass(seconds{20});
+        for (const auto& [ip, item] : network.nodes) {
+            sent[size == 20U ? 0 : 1] += item.bytes;
+        }
+    }
+    CHECK_TRUE(sent[1] < 15U * sent[0]);
+}
+
+TEST_GROUP(choose_addresses) {
+    static peer_record make(const std::string& name, const std::string& zone, const std::string& region) {
+        peer_record record{};
+        record.identity = {name, name, zone, region, name + ":80", 200U};
+        return record;
+    }
+};
+
+// Guards against callers sent across zones while their own zone serves, and against callers without any address.
+TEST(choose_addresses, names_the_nearest_leaders) {
+    const std::vector<peer_record> leaders{make("a1", "za", "r1"), make("a2", "za", "r1"), make("a3", "za", "r1"),
+                                           make("b1", "zb", "r1"), make("c1", "zc", "r2")};
+    CHECK_TRUE((choose_addresses(leaders, "r1", "za", 2U) == std::vector<std::string>{"a1:80", "a2:80"}));
+    CHECK_TRUE((choose_addresses(leaders, "r1", "zb", 2U) == std::vector<std::string>{"b1:80"}));
+    CHECK_TRUE((choose_addresses(leaders, "r1", "zx", 2U) == std::vector<std::string>{"a1:80", "a2:80"}));
+    CHECK_TRUE((choose_addresses(leaders, "r9", "zy", 2U) == std::vector<std::string>{"a1:80", "a2:80"}));
+    CHECK_TRUE(choose_addresses({}, "r1", "za", 2U).empty());
+}
--- /dev/null
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -0,0 +1,265 @@
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fake/fake_clock.hpp>
+#include <mangopulley/gateway/document_codec.hpp>
+#include <mangopulley/gateway/platform_follower.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::decision_log;
+using mangopulley::duration;
+using mangopulley::event_loop;
+using mangopulley::follower_rule;
+using mangopulley::listed_target;
+using mangopulley::peer_record;
+using mangopulley::platform_client;
+using mangopulley::platform_error;
+using mangopulley::platform_follower;
+using mangopulley::routing_config;
+using mangopulley::target_list;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/*! @brief Platform in memory that can be away, for all or for one reader. */
+class fake_platform {
+public:
+    target_list targets{};
+    routing_config config{};
+    bool away{};
+    std::uint64_t calls{};
+
+    void change_targets(const std::vector<std::string>& ids, const std::string& leaving = {}) {
+        this->targets.targets.clear();
+        for (const auto& id : ids) {
+            listed_target target{};
+            target.id = id;
+            target.endpoint = id + ":80";
+            target.leaving = id == leaving;
+            this->targets.targets.push_back(target);
+        }
+        ++this->targets.revision;
+    }
+
+    void change_config(const std::uint64_t version) {
+        this->config.version = version;
+        this->config.revision = ++this->targets.revision;
+    }
+};
+
+class fake_platform_client final : public platform_client {
+public:
+    fake_platform_client(event_loop& owner, fake_platform& source) : loop{owner}, platform{source} {}
+
+    void read_targets(const duration timeout, completion<target_list> done) override {
+        this->answer(timeout, this->platform.targets, std::move(done));
+    }
+    void read_config(const duration timeout, completion<routing_config> done) override {
+        this->answer(timeout, this->platform.config, std::move(done));
+    }
+    void await_config(std::uint64_t, duration, const duration timeout, completion<routing_config> done) override {
+        this->answer(timeout, this->platform.config, std::move(done));
+    }
+    [[nodiscard]] std::uint64_t calls() const noexcept override { return this->made; }
+
+    bool refused{};
+
+private:
+    template <typename Type>
+    void answer(const duration timeout, const Type& value, completion<Type> done) {
+        ++this->made;
+        ++this->platform.calls;
+        if (this->platform.away || this->refused) {
+            this->loop.after(timeout, [done = std::move(done)] { done(platform_error{}); });
+            return;
+        }
+        this->loop.after(milliseconds{4}, [done = std::move(done), value]() mutable { done(std::move(value)); });
+    }
+
+    event_loop& loop;
+    fake_platform& platform;
+    std::uint64_t made{};
+};
+
+/*! @brief Instances that follow one platform and hear of each other's reads. */
+class follower_group {
+public:
+    struct instance {
+        std::unique_ptr<fake_platform_client> client{};
+        std::unique_ptr<platform_follower> follower{};
+        std::vector<std::string> usable{};
+        std::uint64_t version{};
+        bool cut{};
+    };
+
+    explicit follower_group(const std::size_t count) : instances(count) {
+        for (std::size_t index = 0U; index < count; ++index) {
+            auto& item = this->instances[index];
+            item.client = std::make_unique<fake_platform_client>(this->loop, this->platform);
+            platform_follower::parts parts{this->loop, *item.client, this->log};
+            parts.place = [index] { return index; };
+            parts.fetch = [this, index](const std::string& ip, const std::string& path,
+                                        std::function<void(std::string&&)> done) {
+                this->fetch(index, std::stoul(ip), path, std::move(done));
+            };
+            parts.announce = [this, index] { this->announce(index); };
+            parts.config_changed = [&item](const routing_config& config) { item.version = config.version; };
+            parts.targets_changed = [&item](const target_list& list) {
+                item.usable.clear();
+                for (const auto& target : list.targets) {
+                    if (!target.leaving) {
+                        item.usable.push_back(target.id);
+                    }
+                }
+            };
+            item.follower = std::make_unique<platform_follower>(std::move(parts), follower_rule{});
+        }
+    }
+
+    void start() {
+        for (auto& item : this->instances) {
+            item.follower->start();
+        }
+        this->loop.every(milliseconds{400}, [this] { this->announce(0U); });
+    }
+
+    void pass(const duration length) {
+        for (duration done{}; done < length; done += milliseconds{5}) {
+            this->time.advance(milliseconds{5});
+            this->loop.turn(duration::zero());
+        }
+    }
+
+    fake::fake_clock time{};
+    event_loop loop{this->time};
+    decision_log log{"test", this->time, 10.0};
+    fake_platform platform{};
+    std::vector<instance> instances;
+
+private:
+    void announce(const std::size_t from) {
+        peer_record record{};
+        this->instances[from].follower->describe(record);
+        for (std::size_t to = 0U; to < this->instances.size(); ++to) {
+            if (to != from && !this->instances[from].cut && !this->instances[to].cut) {
+                this->instances[to].follower->hear(std::to_string(from), record);
+            }
+        }
+    }
+
+    void fetch(const std::size_t to, const std::size_t from, const std::string& path,
+               std::function<void(std::string&&)> done) {
+        this->loop.after(milliseconds{5}, [this, to, from, path, done = std::move(done)] {
+            const auto& source = *this->instances[from].follower;
+            const bool reachable = !this->instances[to].cut && !this->instances[from].cut;
+            done(!reachable          ? std::string{}
+                 : path == "/config" ? encode_config(source.config())
+                                     : encode_targets(source.listed()));
+        });
+    }
+};
+
+} // namespace
+
+TEST_GROUP(platform_follower) {
+    follower_group group{8U};
+
+    void begin() {
+        group.platform.change_targets({"t1", "t2"});
+        group.platform.change_config(1U);
+        group.start();
+        group.pass(seconds{2});
+    }
+
+    bool all_use(const std::vector<std::string>& ids) {
+        for (const auto& item : group.instances) {
+            if (!item.cut && item.usable != ids) {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+// Guards against calls that grow with the number of instances: eight follow with little more than one reader's calls.
+TEST(platform_follower, follows_with_the_calls_of_one_reader) {
+    begin();
+    const auto before = group.platform.calls;
+    group.pass(seconds{20});
+    const auto calls = group.platform.calls - before;
+    CHECK_TRUE(calls <= 2U * 24U);
+    for (std::size_t index = 2U; index < group.instances.size(); ++index) {
+        CHECK_TRUE(group.instances[index].client->calls() <= 4U);
+    }
+}
+
+// Guards against work for a leaving target, and against an old configuration, later than 2 s after the platform knew.
+TEST(platform_follower, has_changes_in_force_everywhere_within_two_seconds) {
+    begin();
+    for (std::uint64_t round = 0U; round < 12U; ++round) {
+        group.platform.change_targets({"t1", "t2"}, round % 2U == 0U ? "t2" : "");
+        group.platform.change_config(10U + round);
+        group.pass(milliseconds{1'900});
+        CHECK_TRUE(all_use(round % 2U == 0U ? std::vector<std::string>{"t1"} : std::vector<std::string>{"t1", "t2"}));
+        for (const auto& item : group.instances) {
+            LONGS_EQUAL(10U + round, item.version);
+        }
+        group.pass(milliseconds{137});
+    }
+}
+
+// Guards against a reader that the platform turns away while it serves the others, and against one that is cut off.
+TEST(platform_follower, replaces_readers_that_are_turned_away) {
+    begin();
+    group.instances[0].client->refused = true;
+    group.instances[1].client->refused = true;
+    group.pass(seconds{2});
+    group.platform.change_targets({"t1"});
+    group.pass(seconds{2});
+    CHECK_TRUE(all_use({"t1"}));
+    group.instances[5].cut = true;
+    group.platform.change_targets({"t1", "t3"});
+    group.pass(seconds{2});
+    CHECK_TRUE((group.instances[5].usable == std::vector<std::string>{"t1", "t3"}));
+}
+
+// Guards against the loss of all targets when entries lapse while the platform is away, and against using one that has
+// not returned.
+TEST(platform_follower, keeps_targets_whose_entries_lapsed_with_the_platform) {
+    begin();
+    group.platform.away = true;
+    group.pass(seconds{8});
+    CHECK_TRUE(all_use({"t1", "t2"}));
+    group.platform.change_targets({});
+    group.platform.away = false;
+    group.pass(milliseconds{1'500});
+    CHECK_TRUE(all_use({"t1", "t2"}));
+    group.platform.change_targets({"t1"});
+    group.pass(milliseconds{3'500});
+    CHECK_TRUE(all_use({"t1"}));
+}
+
+// Guards against a target being kept after its entry went while the platform was there.
+TEST(platform_follower, drops_a_target_that_goes_from_the_list) {
+    begin();
+    group.platform.change_targets({"t2"});
+    group.pass(milliseconds{1'900});
+    CHECK_TRUE(all_use({"t2"}));
+}
+
+// Guards against an instance that reports itself informed before it knows what to do with requests.
+TEST(platform_follower, is_informed_only_with_targets_and_configuration) {
+    group.start();
+    group.pass(seconds{3});
+    CHECK_FALSE(group.instances[0].follower->informed());
+    group.platform.change_targets({"t1"});
+    group.platform.change_config(3U);
+    group.pass(seconds{2});
+    for (const auto& item : group.instances) {
+        CHECK_TRUE(item.follower->informed());
+    }
+}
--- /dev/null
+++ b/test/mangopulley/gateway/request_scheduler.cpp
@@ -0,0 +1,320 @@
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <mangopulley/gateway/request_scheduler.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::duration;
+using mangopulley::listed_target;
+using mangopulley::refusal;
+using mangopulley::refusal_reason;
+using mangopulley::request_scheduler;
+using mangopulley::scheduling_rule;
+using mangopulley::send_outcome;
+using mangopulley::target_choice_rule;
+using mangopulley::target_pool;
+using mangopulley::time_point;
+using mangopulley::waiting_request;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds usual_work{60};
+constexpr milliseconds goal{200};
+constexpr milliseconds time_limit{800};
+constexpr milliseconds probe_time{2};
+
+/*! @brief What the callers of a played load got. */
+struct tally {
+    int asked{};
+    int in_goal{};
+    int late{};
+    int refused{};
+    /*! @brief Longest time after which a request was refused. */
+    duration longest_refusal{};
+
+    [[nodiscard]] double share_in_goal() const { return static_cast<double>(this->in_goal) / this->asked; }
+};
+
+/**
+ * @brief Plays a load against targets with two slots on hosts whose pace changes, and counts what callers get.
+ *
+ * A full target makes all its work slower, as targets near their limit do.
+ */
+class load_play {
+public:
+    load_play(const std::size_t targets, const double slow_share, const scheduling_rule& rule)
+        : noise{slow_share}, scheduler{target_choice_rule{}, rule, this->outlets()} {
+        std::vector<listed_target> list(targets);
+        for (std::size_t index = 0U; index < targets; ++index) {
+            list[index].id = "t" + std::to_string(index);
+            list[index].endpoint = "10.0.0.1:" + std::to_string(2'000U + index);
+            list[index].slots = 2U;
+        }
+        this->scheduler.targets().update(list, this->now);
+        this->scheduler.limit_probes(60.0);
+    }
+
+    /*! @brief Plays requests at a rate for a time and returns what their callers got. */
+    tally run(const double per_second, const duration length, const std::uint32_t priority = 0U) {
+        this->counts = {};
+        const auto end = this->now + length;
+        std::exponential_distribution<double> gap{per_second};
+        this->at(this->now, [this, end, gap, priority] { this->arrive(end, gap, priority); });
+        const auto last = end + time_limit;
+        this->at(this->now, [this, last] { this->tick(last); });
+        while (!this->events.empty()) {
+            auto event = this->events.top();
+            this->events.pop();
+            this->now = event.when;
+            event.action();
+        }
+        return this->counts;
+    }
+
+    std::mt19937 random{7U};
+
+private:
+    struct event {
+        time_point when;
+        std::uint64_t number;
+        std::function<void()> action;
+
+        [[nodiscard]] bool operator<(const event& other) const {
+            return this->when != other.when ? this->when > other.when : this->number > other.number;
+        }
+    };
+
+    void at(const time_point when, std::function<void()> action) {
+        this->events.push({when, this->last++, std::move(action)});
+    }
+
+    void tick(const time_point last) {
+        this->scheduler.advance(this->now);
+        if (this->now < last) {
+            this->at(this->now + milliseconds{4}, [this, last] { this->tick(last); });
+        }
+    }
+
+    void arrive(const time_point end, std::exponential_distribution<double> gap, const std::uint32_t priority) {
+        if (this->now >= end) {
+            return;
+        }
+        auto item = std::make_shared<waiting_request>();
+        item->priority = priority;
+        item->arrived = this->now;
+        item->goal = this->now + goal;
+        item->deadline = this->now + time_limit;
+        item->work = usual_work;
+        ++this->counts.asked;
+        this->scheduler.submit(item, this->now);
+        const auto next = std::chrono::duration_cast<duration>(std::chrono::duration<double>{gap(this->random)});
+        this->at(this->now + next, [this, end, gap, priority] { this->arrive(end, gap, priority); });
+    }
+
+    /*! @brief Pace of a host, drawn anew every 150 ms. */
+    [[nodiscard]] double pace(const std::string& host) const {
+        const auto period = this->now.time_since_epoch() / milliseconds{150};
+        std::mt19937 draw{static_cast<std::uint32_t>(std::hash<std::string>{}(host) + static_cast<std::size_t>(period))};
+        draw.discard(3U);
+        return std::uniform_real_distribution<double>{}(draw) < this->noise ? 5.0 : 1.0;
+    }
+
+    request_scheduler::actions outlets() {
+        request_scheduler::actions actions{};
+        actions.send = [this](const request_scheduler::request& item, const target_pool::handle& target) {
+            const double full = target->in_flight >= 2U ? 1.5 : 1.0;
+            const double spread = std::uniform_real_distribution<double>{0.7, 1.3}(this->random);
+            const auto taken = std::chrono::duration_cast<duration>(
+                usual_work * this->pace(target->listing.id) * full * spread);
+            this->at(this->now + taken, [this, item, target, taken] { this->finish(item, target, taken); });
+        };
+        actions.probe = [this](const target_pool::handle& target) {
+            this->at(this->now + probe_time, [this, target] {
+                target->probe_pending = false;
+                this->scheduler.targets().take_reading(
+                    *target, {target->in_flight, 0U, 2U, this->pace(target->listing.id)}, this->now);
+                this->scheduler.advance(this->now);
+            });
+        };
+        actions.refuse = [this](const request_scheduler::request& item, const refusal& why) {
+            ++this->counts.refused;
+            this->counts.longest_refusal = std::max(this->counts.longest_refusal, this->now - item->arrived);
+            CHECK_TRUE(why.retry_after > duration::zero());
+        };
+        return actions;
+    }
+
+    void finish(const request_scheduler::request& item, const target_pool::handle& target, const duration taken) {
+        this->scheduler.targets().end(*target, send_outcome::answered, {}, this->now);
+        this->scheduler.note_completion(taken);
+        if (this->now <= item->goal) {
+            ++this->counts.in_goal;
+        } else {
+            ++this->counts.late;
+        }
+        this->scheduler.advance(this->now);
+    }
+
+    time_point now{seconds{100}};
+    double noise;
+    std::priority_queue<event> events{};
+    std::uint64_t last{};
+    tally counts{};
+    request_scheduler scheduler;
+};
+
+} // namespace
+
+TEST_GROUP(request_scheduler){};
+
+// Guards against requests that meet a slow host although another one is fast: a quarter of the hosts is five times
+// slower at any moment, so that a blind choice would miss the goal for a quarter of the requests.
+TEST(request_scheduler, keeps_the_goal_beside_noisy_neighbours) {
+    load_play play{14U, 0.25, {}};
+    const auto seen = play.run(60.0, seconds{40});
+    CHECK_TRUE(seen.share_in_goal() > 0.95);
+    LONGS_EQUAL(0, seen.refused);
+}
+
+// Guards against the collapse in which every request is served just when it has become late: at twice what the targets
+// can do, most of what they can do must still be answered within the goal.
+TEST(request_scheduler, answers_in_time_what_the_targets_can_do_under_twice_their_load) {
+    load_play play{6U, 0.0, {}};
+    // Six targets with two slots and 60 ms of work, half as long again when full.
+    const double capacity = 6.0 * 2.0 / (0.060 * 1.5);
+    const auto seen = play.run(2.0 * capacity, seconds{30});
+    const double served = seen.in_goal / 30.0;
+    CHECK_TRUE(served > 0.75 * capacity);
+    CHECK_TRUE(seen.late < seen.in_goal / 4);
+}
+
+// Guards against callers that wait for a refusal: it comes before the goal has passed, so that they can ask again.
+TEST(request_scheduler, refuses_early_when_overloaded) {
+    load_play play{6U, 0.0, {}};
+    const auto seen = play.run(300.0, seconds{20});
+    CHECK_TRUE(seen.refused > 0);
+    CHECK_TRUE(seen.longest_refusal <= goal);
+}
+
+// Guards against an overload that outlasts its cause.
+TEST(request_scheduler, recovers_as_soon_as_a_burst_ends) {
+    load_play play{6U, 0.0, {}};
+    static_cast<void>(play.run(400.0, seconds{5}));
+    const auto after = play.run(60.0, seconds{5});
+    CHECK_TRUE(after.share_in_goal() > 0.98);
+}
+
+TEST_GROUP(request_scheduler_line) {
+    time_point now{seconds{100}};
+    std::vector<std::string> sent{};
+    std::map<std::string, refusal_reason> refused{};
+    int probes{};
+    request_scheduler scheduler{target_choice_rule{}, scheduling_rule{}, [this] {
+                                    request_scheduler::actions actions{};
+                                    actions.send = [this](const auto& item, const auto&) { sent.push_back(item->id); };
+                                    actions.probe = [this](const auto&) { ++probes; };
+                                    actions.refuse = [this](const auto& item, const refusal& why) {
+                                        refused[item->id] = why.reason;
+                                    };
+                                    return actions;
+                                }()};
+
+    void list(const std::size_t count, const std::uint32_t slots) {
+        std::vector<listed_target> targets(count);
+        for (std::size_t index = 0U; index < count; ++index) {
+            targets[index].id = "t" + std::to_string(index);
+            targets[index].slots = slots;
+        }
+        scheduler.targets().update(targets, now);
+        scheduler.targets().note_no_report();
+    }
+
+    request_scheduler::request make(std::string id, const std::uint32_t priority = 0U) {
+        auto item = std::make_shared<waiting_request>();
+        item->id = std::move(id);
+        item->priority = priority;
+        item->arrived = now;
+        item->goal = now + goal;
+        item->deadline = now + time_limit;
+        item->work = usual_work;
+        return item;
+    }
+
+    void free_slot() {
+        for (const auto& target : scheduler.targets().targets()) {
+            if (target->in_flight > 0U) {
+                scheduler.targets().end(*target, send_outcome::answered, {}, now);
+                break;
+            }
+        }
+        scheduler.advance(now);
+    }
+};
+
+// Guards against callers held for nothing when no target can take their request.
+TEST(request_scheduler_line, refuses_at_once_without_a_target) {
+    scheduler.submit(make("a"), now);
+    LONGS_EQUAL(1, refused.size());
+    CHECK_TRUE(refused["a"] == refusal_reason::no_target);
+    list(1U, 1U);
+    auto tried = make("b");
+    tried->tried = {"t0"};
+    scheduler.submit(tried, now);
+    CHECK_TRUE(refused["b"] == refusal_reason::no_target);
+}
+
+// Guards against requests that wait although their targets are about to be refused to them.
+TEST(request_scheduler_line, serves_by_priority_and_refuses_when_all_targets_leave) {
+    list(1U, 1U);
+    scheduler.submit(make("running"), now);
+    scheduler.submit(make("low", 2U), now);
+    scheduler.submit(make("high", 0U), now);
+    LONGS_EQUAL(1, sent.size());
+    free_slot();
+    CHECK_EQUAL(std::string{"high"}, sent.back());
+    scheduler.targets().update({}, now);
+    scheduler.advance(now);
+    CHECK_TRUE(refused["low"] == refusal_reason::no_target);
+}
+
+// Guards against work for callers that have left.
+TEST(request_scheduler_line, sends_nothing_for_a_withdrawn_request) {
+    list(1U, 1U);
+    scheduler.submit(make("running"), now);
+    const auto gone = make("gone");
+    scheduler.submit(gone, now);
+    scheduler.withdraw(gone);
+    free_slot();
+    LONGS_EQUAL(1, sent.size());
+    LONGS_EQUAL(0, refused.size());
+}
+
+// Guards against more probes than the budget allows, however many requests come.
+TEST(request_scheduler_line, keeps_the_budget_of_probes) {
+    std::vector<listed_target> targets(4U);
+    for (std::size_t index = 0U; index < targets.size(); ++index) {
+        targets[index].id = "t" + std::to_string(index);
+        targets[index].slots = 1'000U;
+    }
+    scheduler.targets().update(targets, now);
+    scheduler.limit_probes(5.0);
+    for (int step = 0; step < 1'000; ++step) {
+        scheduler.submit(make("r" + std::to_string(step)), now);
+        for (const auto& target : scheduler.targets().targets()) {
+            target->probe_pending = false;
+        }
+        now += milliseconds{10};
+    }
+    // Four targets, five probes a second each, ten seconds, and half a second's worth saved up.
+    CHECK_TRUE(probes <= 4 * 5 * 10 + 10);
+    CHECK_TRUE(probes > 100);
+    LONGS_EQUAL(1'000, sent.size());
+}
--- /dev/null
+++ b/test/mangopulley/gateway/route_table.cpp
@@ -0,0 +1,81 @@
+#include <map>
+#include <string>
+
+#include <mangopulley/gateway/route_table.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::route;
+using mangopulley::route_table;
+using mangopulley::routing_config;
+
+namespace {
+
+[[nodiscard]] route make_route(std::string host, std::string prefix, std::string service) {
+    route item{};
+    item.name = host + prefix;
+    item.host = std::move(host);
+    item.prefix = std::move(prefix);
+    item.parts = {{std::move(service), 1.0}};
+    return item;
+}
+
+[[nodiscard]] routing_config make_config(const std::uint64_t revision) {
+    routing_config config{};
+    config.version = revision;
+    config.revision = revision;
+    config.routes = {make_route("a.example", "/", "root"), make_route("a.example", "/x/", "short"),
+                     make_route("a.example", "/x/y/", "long")};
+    return config;
+}
+
+} // namespace
+
+TEST_GROUP(route_table) {
+    route_table table{};
+
+    std::string service_of(const char* host, const char* path) {
+        const auto* found = table.find(host, path);
+        return found == nullptr ? "none" : std::string{table.next_service(*found)};
+    }
+};
+
+// Guards against requests that reach a service to which no route leads.
+TEST(route_table, chooses_the_longest_prefix_of_the_host) {
+    CHECK_TRUE(table.apply(make_config(3U)));
+    STRCMP_EQUAL("long", service_of("a.example", "/x/y/z").c_str());
+    STRCMP_EQUAL("short", service_of("A.Example:80", "/x/yy").c_str());
+    STRCMP_EQUAL("root", service_of("a.example", "/x").c_str());
+    STRCMP_EQUAL("none", service_of("b.example", "/x/").c_str());
+}
+
+// Guards against a configuration that comes back after a newer one was in force.
+TEST(route_table, ignores_older_revisions) {
+    CHECK_TRUE(table.apply(make_config(5U)));
+    auto older = make_config(4U);
+    older.routes.clear();
+    CHECK_FALSE(table.apply(older));
+    CHECK_FALSE(table.apply(make_config(5U)));
+    STRCMP_EQUAL("long", service_of("a.example", "/x/y/").c_str());
+}
+
+// Guards against shares that drift from the weights, at any moment and also after an unrelated change.
+TEST(route_table, shares_a_split_by_weight) {
+    auto config = make_config(1U);
+    config.routes.push_back(make_route("s.example", "/", "first"));
+    config.routes.back().parts = {{"first", 70.0}, {"second", 20.0}, {"third", 10.0}, {"none", 0.0}};
+    CHECK_TRUE(table.apply(config));
+    std::map<std::string, int> counts{};
+    for (int number = 1; number <= 1'000; ++number) {
+        ++counts[service_of("s.example", "/")];
+        CHECK_TRUE(std::abs(counts["first"] - number * 0.7) <= 1.0);
+        CHECK_TRUE(std::abs(counts["second"] - number * 0.2) <= 1.0);
+        if (number == 500) {
+            config.revision = 2U;
+            config.routes.front().parts = {{"other", 1.0}};
+            CHECK_TRUE(table.apply(config));
+        }
+    }
+    LONGS_EQUAL(100, counts["third"]);
+    LONGS_EQUAL(0, counts["none"]);
+}
--- /dev/null
+++ b/test/mangopulley/gateway/target_pool.cpp
@@ -0,0 +1,169 @@
+#include <string>
+#include <vector>
+
+#include <mangopulley/gateway/target_pool.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::listed_target;
+using mangopulley::load_reading;
+using mangopulley::send_outcome;
+using mangopulley::target_choice_rule;
+using mangopulley::target_pool;
+using mangopulley::time_point;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds usual_work{60};
+
+[[nodiscard]] listed_target make_target(std::string id, std::string zone = "a") {
+    listed_target target{};
+    target.id = std::move(id);
+    target.born = 1U;
+    target.service = "proof";
+    target.endpoint = "10.0.0.1:" + std::to_string(1'000U + target.id.back());
+    target.zone = std::move(zone);
+    target.slots = 2U;
+    return target;
+}
+
+} // namespace
+
+TEST_GROUP(target_pool) {
+    time_point now{seconds{100}};
+    target_pool pool{[] {
+        target_choice_rule rule{};
+        rule.own_zone = "a";
+        return rule;
+    }()};
+
+    void list(const std::vector<listed_target>& targets) { pool.update(targets, now); }
+
+    std::string best(const std::vector<std::string>& excluded = {}, const bool fresh_only = false) {
+        const auto found = pool.best({usual_work, excluded, fresh_only}, now);
+        return found ? found->target->listing.id : "none";
+    }
+
+    target_pool::handle get(const std::string& id) {
+        for (const auto& target : pool.targets()) {
+            if (target->listing.id == id) {
+                return target;
+            }
+        }
+        return nullptr;
+    }
+};
+
+// Guards against new work for a target that leaves or has gone from the list.
+TEST(target_pool, gives_no_new_work_to_leaving_targets) {
+    list({make_target("t1"), make_target("t2")});
+    auto leaving = make_target("t1");
+    leaving.leaving = true;
+    list({leaving, make_target("t2")});
+    STRCMP_EQUAL("t2", best().c_str());
+    list({leaving});
+    STRCMP_EQUAL("none", best().c_str());
+    CHECK_FALSE(pool.has_usable({}));
+}
+
+// Guards against what was known of one incarnation being held against the next.
+TEST(target_pool, forgets_a_target_that_starts_again_under_its_id) {
+    list({make_target("t1")});
+    const auto before = get("t1");
+    pool.begin(*before, now);
+    pool.end(*before, send_outcome::failed, {}, now);
+    auto again = make_target("t1");
+    again.born = 2U;
+    list({again});
+    CHECK_TRUE(get("t1") != before);
+    CHECK_FALSE(before->listed);
+    DOUBLES_EQUAL(0.0, get("t1")->failure_share, 0.0);
+}
+
+// Guards against requests that queue at a target: own ones, those other instances tell of, and those it reports.
+TEST(target_pool, counts_every_request_at_a_target_against_its_slots) {
+    list({make_target("t1")});
+    pool.begin(*get("t1"), now);
+    STRCMP_EQUAL("t1", best().c_str());
+    get("t1")->foreign = 1U;
+    STRCMP_EQUAL("none", best().c_str());
+    get("t1")->foreign = 0U;
+    pool.take_reading(*get("t1"), {2U, 1U, 2U, 1.0}, now);
+    STRCMP_EQUAL("none", best().c_str());
+    now += seconds{1};
+    STRCMP_EQUAL("t1", best().c_str());
+}
+
+// Guards against requests sent to a host that is slow right now while another one is not.
+TEST(target_pool, prefers_the_host_that_is_fast_now) {
+    list({make_target("t1"), make_target("t2")});
+    pool.take_reading(*get("t1"), {0U, 0U, 2U, 5.0}, now);
+    pool.take_reading(*get("t2"), {0U, 0U, 2U, 1.0}, now);
+    STRCMP_EQUAL("t2", best().c_str());
+    pool.begin(*get("t2"), now);
+    STRCMP_EQUAL("t2", best().c_str());
+    pool.begin(*get("t2"), now);
+    STRCMP_EQUAL("t1", best().c_str());
+}
+
+// Guards against an old reading being taken for the present pace.
+TEST(target_pool, lets_old_readings_fade) {
+    list({make_target("t1"), make_target("t2")});
+    pool.take_reading(*get("t1"), {0U, 0U, 2U, 5.0}, now);
+    CHECK_EQUAL(std::string{"t1"}, best({"t2"}, true));
+    now += milliseconds{200};
+    CHECK_EQUAL(std::string{"none"}, best({"t2"}, true));
+    const auto faded = pool.slowness(*get("t1"), now);
+    CHECK_TRUE(faded < 3.0);
+    CHECK_TRUE(faded > pool.usual_pace());
+}
+
+// Guards against bytes between zones where a target of the own zone does as well.
+TEST(target_pool, prefers_the_own_zone_among_equals) {
+    list({make_target("t1", "b"), make_target("t2", "a")});
+    STRCMP_EQUAL("t2", best().c_str());
+    get("t2")->warm_until = now + seconds{3};
+    STRCMP_EQUAL("t1", best().c_str());
+}
+
+// Guards against further requests for a target that does not answer, and against never using it again.
+TEST(target_pool, avoids_a_silent_target_for_a_while) {
+    list({make_target("t1"), make_target("t2", "b")});
+    pool.note_probe_failure(*get("t1"), now);
+    STRCMP_EQUAL("t2", best().c_str());
+    CHECK_EQUAL(std::string{"t1"}, best({"t2"}));
+    now += milliseconds{400};
+    STRCMP_EQUAL("t1", best().c_str());
+    LONGS_EQUAL(2, pool.worth_probing({usual_work, {}, false}, 8U, now).size());
+}
+
+// Guards against a target with a good health check that fails part of its requests.
+TEST(target_pool, prefers_targets_that_do_not_fail) {
+    list({make_target("t1"), make_target("t2")});
+    for (int count = 0; count < 3; ++count) {
+        pool.begin(*get("t1"), now);
+        pool.end(*get("t1"), send_outcome::failed, {}, now);
+        now += seconds{4};
+    }
+    STRCMP_EQUAL("t2", best().c_str());
+    CHECK_TRUE(get("t1")->failure_share > 0.5);
+    for (int count = 0; count < 40; ++count) {
+        pool.begin(*get("t1"), now);
+        pool.end(*get("t1"), send_outcome::answered, {}, now);
+    }
+    CHECK_TRUE(get("t1")->failure_share < 0.02);
+}
+
+// Guards against probes for targets that would not be used, or whose load is known.
+TEST(target_pool, probes_only_what_it_does_not_know) {
+    auto leaving = make_target("t3");
+    leaving.leaving = true;
+    list({make_target("t1"), make_target("t2"), leaving, make_target("t4")});
+    pool.take_reading(*get("t1"), {0U, 0U, 2U, 1.0}, now);
+    get("t2")->probe_pending = true;
+    const auto chosen = pool.worth_probing({usual_work, {}, false}, 8U, now);
+    LONGS_EQUAL(1, chosen.size());
+    STRCMP_EQUAL("t4", chosen.front()->listing.id.c_str());
+}
--- /dev/null
+++ b/test/mangopulley/http/response_parser.cpp
@@ -0,0 +1,81 @@
+#include <string>
+#include <vector>
+
+#include <mangopulley/http/response_parser.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using mangopulley::response_parser;
+
+namespace {
+
+constexpr std::size_t longest_body = 1'000U;
+
+} // namespace
+
+TEST_GROUP(response_parser){};
+
+// Guards against answers of one request being cut or mixed with those of the next.
+TEST(response_parser, takes_one_response_after_the_other) {
+    response_parser parser{longest_body};
+    parser.append("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 503 Busy\r\n");
+    CHECK_TRUE(parser.examine() == response_parser::state::complete);
+    auto first = parser.take();
+    LONGS_EQUAL(200, first.status());
+    STRCMP_EQUAL("ab", first.body.c_str());
+    CHECK_TRUE(first.keep_alive);
+    CHECK_TRUE(parser.started());
+    CHECK_TRUE(parser.examine() == response_parser::state::incomplete);
+    parser.append("Connection: close\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(parser.examine() == response_parser::state::complete);
+    const auto second = parser.take();
+    LONGS_EQUAL(503, second.status());
+    CHECK_FALSE(second.keep_alive);
+}
+
+// Guards against an answer that was cut short being passed on as whole.
+TEST(response_parser, completes_an_unframed_body_only_by_a_regular_close) {
+    for (const bool broken : {false, true}) {
+        response_parser parser{longest_body};
+        parser.append("HTTP/1.1 200 OK\r\n\r\npart");
+        CHECK_TRUE(parser.examine() == response_parser::state::incomplete);
+        const auto expected = broken ? response_parser::state::malformed : response_parser::state::complete;
+        CHECK_TRUE(parser.finish(broken) == expected);
+    }
+    response_parser counted{longest_body};
+    counted.append("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart");
+    CHECK_TRUE(counted.finish(false) == response_parser::state::malformed);
+}
+
+// Guards against a HEAD request waiting for a body that never comes.
+TEST(response_parser, expects_no_body_where_there_is_none) {
+    response_parser parser{longest_body};
+    parser.expect_no_body(true);
+    parser.append("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+    CHECK_TRUE(parser.examine() == response_parser::state::complete);
+    response_parser empty{longest_body};
+    empty.append("HTTP/1.1 204 No Content\r\n\r\n");
+    CHECK_TRUE(empty.examine() == response_parser::state::complete);
+}
+
+// Guards against bytes that are no answer being taken for one.
+TEST(response_parser, rejects_what_is_no_response) {
+    const std::vector<std::string> texts{
+        "GARBAGE\r\n\r\n",
+        std::string(10U, '\0'),
+        "HTTP/1.1 abc OK\r\n\r\n",
+        "HTTP/3.0 200 OK\r\n\r\n",
+        "HTTP/1.1 101 Switching\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    };
+    for (const auto& text : texts) {
+        response_parser parser{longest_body};
+        parser.append(text);
+        CHECK_TRUE_TEXT(parser.examine() == response_parser::state::malformed, text.c_str());
+    }
+}
--- /dev/null
+++ b/test/platform/record_decoder.cpp
@@ -0,0 +1,107 @@
+#include <string>
+
+#include <platform/record_decoder.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+using platform::decode_config_object;
+using platform::decode_target_page;
+using std::chrono::milliseconds;
+
+namespace {
+
+[[nodiscard]] std::string object(const std::string& name, const std::string& spec) {
+    return R"({"metadata":{"name":")" + name + R"(","revision":7},"spec":)" + spec + "}";
+}
+
+[[nodiscard]] std::string page(const std::string& items, const bool more = false) {
+    return R"({"items":[)" + items + R"(],"has_more":)" + (more ? "true" : "false") + R"(,"store_revision":12})";
+}
+
+const std::string good{R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,)"
+                       R"("state":"ready","warmup_s_time":1.5,"sequence":4,"born":1790000000000})"};
+
+} // namespace
+
+TEST_GROUP(record_decoder){};
+
+// Guards against targets read wrongly from their entries.
+TEST(record_decoder, reads_targets) {
+    auto leaving = good;
+    leaving.replace(leaving.find("ready"), 5U, "draining");
+    const auto decoded = decode_target_page(page(object("i-1", good) + "," + object("i-2", leaving), true));
+    CHECK_TRUE(decoded.has_value());
+    LONGS_EQUAL(12, decoded->list.revision);
+    LONGS_EQUAL(2, decoded->list.targets.size());
+    const auto& target = decoded->list.targets.front();
+    STRCMP_EQUAL("i-1", target.id.c_str());
+    CHECK_EQUAL(1'790'000'000'000U, target.born);
+    STRCMP_EQUAL("10.0.0.9:80", target.endpoint.c_str());
+    LONGS_EQUAL(2, target.slots);
+    CHECK_FALSE(target.leaving);
+    CHECK_TRUE(target.warm_up == milliseconds{1'500});
+    CHECK_TRUE(decoded->list.targets.back().leaving);
+    STRCMP_EQUAL("i-2", decoded->next_after.c_str());
+}
+
+// Guards against entries of other writers: each names no target, and the others hold.
+TEST(record_decoder, passes_over_entries_that_name_no_target) {
+    const std::string foreign[]{
+        "null",
+        "5",
+        "\"text\"",
+        "{}",
+        R"({"service":5,"address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready"})",
+        R"({"service":"s1","address":"nowhere","zone":"z","slots":2,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":0,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":-2,"state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":"2","state":"ready"})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":2,"state":"odd"})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":2})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","born":1.5})",
+        R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":2,"state":"ready","born":"x"})",
+    };
+    for (const auto& spec : foreign) {
+        const auto decoded = decode_target_page(page(object("i-0", spec) + "," + object("i-1", good)));
+        CHECK_TRUE_TEXT(decoded.has_value(), spec.c_str());
+        LONGS_EQUAL_TEXT(1, decoded->list.targets.size(), spec.c_str());
+        LONGS_EQUAL(1, decoded->rejected);
+    }
+    CHECK_FALSE(decode_target_page("no json").has_value());
+    CHECK_FALSE(decode_target_page("{}").has_value());
+    CHECK_FALSE(decode_target_page("[]").has_value());
+}
+
+// Guards against routes read wrongly from the configuration.
+TEST(record_decoder, reads_the_configuration) {
+    const auto decoded = decode_config_object(object(
+        "main",
+        R"({"version":5,"routes":[{"name":"r1","host":"h","path_prefix":"/a/","kind":"idempotent","timeout_s":0.8,)"
+        R"("latency_goal_s":0.2,"priority":2,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+        R"("attempts":2},{"name":"r2","host":"h","path_prefix":"/b/","kind":"non_idempotent","timeout_s":1,)"
+        R"("latency_goal_s":0.25,"priority":1,"service":"s1","attempts":1}],)"
+        R"("services":[{"name":"s1","health_path":"/hp","max_conns":220}],)"
+        R"("limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_s":3,"idle_timeout_s":15.5},)"
+        R"("later_field":{}})"));
+    CHECK_TRUE(decoded.has_value());
+    LONGS_EQUAL(5, decoded->version);
+    LONGS_EQUAL(7, decoded->revision);
+    const auto& first = decoded->routes.front();
+    CHECK_TRUE(first.idempotent);
+    CHECK_TRUE(first.time_limit == milliseconds{800});
+    CHECK_TRUE((first.parts == std::vector<split_part>{{"s1", 90.0}, {"s2", 10.0}}));
+    CHECK_FALSE(decoded->routes.back().idempotent);
+    STRCMP_EQUAL("/hp", decoded->services.front().health_path.c_str());
+    CHECK_TRUE(decoded->limits.idle_time == milliseconds{15'500});
+}
+
+// Guards against a half-read configuration being put in force.
+TEST(record_decoder, rejects_a_configuration_that_is_not_whole) {
+    for (const char* spec : {"null", "{}", R"({"version":1})", R"({"version":"1","routes":[]})",
+                             R"({"version":1,"routes":[{"host":"h"}]})",
+                             R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"idempotent",)"
+                             R"("timeout_s":-1,"service":"s"}]})"}) {
+        CHECK_FALSE(decode_config_object(object("main", spec)).has_value());
+    }
+}
