Name instances by capacity and demand; count a request's time from its arrival

Separately, a few callers with a longer time limit made all others look as if they asked again, so that first attempts were refused as late in a crowded line (31% refused with slots free).

Now: instances tell their rate and whether they are short of processor time; as many are named as the weakest needs; time is counted from the earliest possible arrival; the usual time limit is the most frequent one; a host of unknown pace counts as usual.

--- a/src/mangopulley/gateway/caller_port.cpp
+++ b/src/mangopulley/gateway/caller_port.cpp
@@ -37,7 +37,7 @@
 class caller_connection final : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(caller_port_state& port, const http_limits& bounds)
-        : owner{port}, limits{bounds}, parser{bounds}, since{port.loop.now()} {}
+        : owner{port}, limits{bounds}, parser{bounds}, since{port.loop.now()}, opened{port.loop.earliest_arrival()} {}
 
     void open(const Poco::Net::StreamSocket& socket) {
         stream::events events{};
@@ -106,7 +106,7 @@
             return;
         }
         if (!this->parser.started()) {
-            this->begun = this->owner.loop.now();
+            this->begun = this->arrival();
         }
         this->parser.append(bytes);
         this->read_ahead += bytes.size();
@@ -121,6 +121,14 @@
 
     void proceed();
 
+    /*! @brief Returns the earliest time at which the bytes read now can have arrived. */
+    [[nodiscard]] time_point arrival() {
+        const auto earliest = this->owner.loop.earliest_arrival();
+        // What is read in the turn after the accept may have come with the connection.
+        const auto opening = std::exchange(this->opened, time_point::max());
+        return this->turn_after_accept == earliest ? std::min(opening, earliest) : earliest;
+    }
+
     void reject(const int status, const std::string_view reason) {
         this->answering = true;
         this->keep_alive = false;
@@ -163,6 +171,9 @@
     std::unique_ptr<stream> connection{};
     std::function<void()> exchange_gone{};
     time_point since;
+    /*! @brief Earliest time at which the connection can have been opened. */
+    time_point opened;
+    time_point turn_after_accept{owner.loop.turn_began()};
     /*! @brief When the first byte of the request arrived. */
     time_point begun{};
     std::size_t read_ahead{};
--- a/src/mangopulley/gateway/fleet.cpp
+++ b/src/mangopulley/gateway/fleet.cpp
@@ -20,6 +20,9 @@
 constexpr duration seed_silence{std::chrono::seconds{4}};
 constexpr duration members_period{std::chrono::seconds{2}};
 
+// Requests in a second that an instance bears for each thousandth of a core: half of a core's time at 1 ms a request.
+constexpr double requests_per_millicore = 0.5;
+
 struct member {
     peer_record record{};
     time_point heard{};
@@ -33,6 +36,9 @@
 
 /*! @brief Orders the instances of a zone: the strongest lead, and equal ones by a hash that favours no rack. */
 [[nodiscard]] bool leads_before(const peer_record& left, const peer_record& right) {
+    if (left.strained != right.strained) {
+        return right.strained;
+    }
     if (left.identity.millicores != right.identity.millicores) {
         return left.identity.millicores > right.identity.millicores;
     }
@@ -80,7 +86,9 @@
         std::vector<peer_record> chosen{};
         for (auto& [zone, records] : by_zone) {
             std::sort(records.begin(), records.end(), internal::leads_before);
-            const auto count = std::min(records.size(), this->rule.leaders_per_zone);
+            // One more than are named, so that the next one is known to live.
+            const auto wanted = std::max(named_count(records) + 1U, this->rule.leaders_per_zone);
+            const auto count = std::min(records.size(), wanted);
             chosen.insert(chosen.end(), records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count));
         }
         return chosen;
@@ -195,8 +203,7 @@
         if (decoded->asks || unknown) {
             this->ways.send(ip, this->message(true, !item.introduced));
         }
-        if (decoded->introduces && decoded->members_digest != 0U &&
-            decoded->members_digest != this->members_digest()) {
+        if (decoded->introduces && decoded->members_digest != 0U && decoded->members_digest != this->members_digest()) {
             this->fetch_members(ip);
         }
         this->action(ip, item.record);
@@ -295,14 +302,37 @@
     // The last leader of a zone reads first: the first ones are named to callers.
     const auto all = this->leaders();
     const auto own = this->self->source();
-    const auto place = std::find_if(all.rbegin(), all.rend(), [&own](const peer_record& record) {
-        return record.identity.ip == own.identity.ip;
-    });
+    const auto place = std::find_if(
+        all.rbegin(), all.rend(), [&own](const peer_record& record) { return record.identity.ip == own.identity.ip; });
     return static_cast<std::size_t>(place - all.rbegin());
 }
 
-std::vector<std::string> choose_addresses(const std::span<const peer_record> leaders, const std::string_view region,
-                                          const std::string_view zone, const std::size_t most) {
+std::size_t named_count(const std::span<const peer_record> zone) {
+    constexpr std::size_t usual_count = 2U;
+    if (zone.empty()) {
+        return 0U;
+    }
+    double demand = 0.0;
+    for (const auto& record : zone) {
+        demand += record.requests_per_second;
+    }
+    const auto bearable = [](const peer_record& record) {
+        return record.identity.millicores * internal::requests_per_millicore;
+    };
+    const bool strong_alone = zone.size() > 1U && !zone.front().strained &&
+                              zone[1U].identity.millicores * 2U < zone.front().identity.millicores;
+    if (strong_alone && demand <= bearable(zone.front())) {
+        return 1U;
+    }
+    std::size_t count = std::min(usual_count, zone.size());
+    while (count < zone.size() && demand / static_cast<double>(count) > bearable(zone[count - 1U])) {
+        ++count;
+    }
+    return count;
+}
+
+std::vector<peer_record> choose_instances(const std::span<const peer_record> leaders, const std::string_view region,
+                                          const std::string_view zone) {
     const auto distance = [&](const peer_record& record) {
         return record.identity.zone == zone ? 0 : record.identity.region == region ? 1 : 2;
     };
@@ -310,13 +340,16 @@
     for (const auto& record : leaders) {
         nearest = std::min(nearest, distance(record));
     }
-    std::vector<std::string> chosen{};
+    std::vector<peer_record> candidates{};
     for (const auto& record : leaders) {
-        if (chosen.size() < most && distance(record) == nearest) {
-            chosen.push_back(record.identity.caller_endpoint);
+        // All from one zone, so that they share their counts and their targets' bytes stay there.
+        const bool same_zone = candidates.empty() || candidates.front().identity.zone == record.identity.zone;
+        if (distance(record) == nearest && same_zone) {
+            candidates.push_back(record);
         }
     }
-    return chosen;
+    candidates.resize(named_count(candidates));
+    return candidates;
 }
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/fleet.hpp
+++ b/src/mangopulley/gateway/fleet.hpp
@@ -15,7 +15,7 @@
 
 /*! @brief Constants of the membership among instances. */
 struct fleet_rule {
-    /*! @brief Leading instances of each zone; they alone send heartbeats to all and are named to callers. */
+    /*! @brief Fewest leading instances of a zone; they alone send heartbeats to all, and callers are told some. */
     std::size_t leaders_per_zone{3U};
     duration heartbeat_period{std::chrono::milliseconds{400}};
     /*! @brief A leader that was not heard from for this long is replaced. */
@@ -83,19 +83,29 @@
     std::unique_ptr<implementation> self;
 };
 
+/**
+ * @brief Returns how many of the best instances of a zone callers are told.
+ *
+ * Callers share their requests evenly among the addresses they are told. Two are told, so that few instances know the
+ * targets from their own requests; more when the weakest of them could not bear its share, and only one when all
+ * others are much weaker.
+ *
+ * @param zone Ready instances of one zone, best first.
+ * @return Number of instances, 0 only for none.
+ */
+[[nodiscard]] std::size_t named_count(std::span<const peer_record> zone);
+
 /**
  * @brief Chooses the addresses that a caller is told.
  *
- * Few instances per zone see most requests, so that they know the targets from their own requests. An address in
- * another zone is named only where the caller's own zone has none.
+ * An address in another zone is named only where the caller's own zone has none.
  *
  * @param leaders Instances that callers may use, best first in each zone.
  * @param region Region of the caller.
  * @param zone Zone of the caller.
- * @param most Number of addresses wanted.
- * @return Addresses as `ip:port`, at least one unless `leaders` is empty.
+ * @return Instances, at least one unless `leaders` is empty.
  */
-[[nodiscard]] std::vector<std::string> choose_addresses(std::span<const peer_record> leaders, std::string_view region,
-                                                        std::string_view zone, std::size_t most);
+[[nodiscard]] std::vector<peer_record> choose_instances(std::span<const peer_record> leaders, std::string_view region,
+                                                        std::string_view zone);
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -15,6 +15,7 @@
 #include "load_prober.hpp"
 #include "shared_load.hpp"
 #include "transaction.hpp"
+#include "usual_patience.hpp"
 
 namespace mangopulley {
 
@@ -108,12 +109,13 @@
     std::size_t instances{1U};
     double probes_per_target{0.0};
     std::uint64_t last_attempt{};
+    std::uint64_t received{};
     std::function<void(std::uint32_t, std::uint32_t)> load_changed{};
     /*! @brief Targets by their keys in `shared_load`, and the counts of others, also of targets not yet listed. */
     std::unordered_map<std::uint32_t, target_pool::handle> by_key{};
     std::unordered_map<std::uint32_t, std::uint32_t> foreign{};
-    /*! @brief Longest time that callers of a route were seen to wait; less is left when they ask again. */
-    std::unordered_map<std::string, duration> longest_wait{};
+    /*! @brief How long the callers of each route wait. */
+    std::unordered_map<std::string, usual_patience> patience{};
     timer_id advance_timer{};
     timer_id prune_timer{};
 
@@ -167,6 +169,7 @@
     // Arrival
 
     void handle(const std::shared_ptr<caller_exchange>& exchange) {
+        ++this->received;
         const auto& request = exchange->request();
         auto item = std::make_shared<internal::transaction>();
         item->exchange = exchange;
@@ -220,12 +223,8 @@
 
     /*! @brief Returns how long a caller has waited with earlier attempts, judged by the time it has left. */
     [[nodiscard]] duration spent_before(const internal::transaction& item) {
-        if (!item.facts.time_left) {
-            return duration::zero();
-        }
-        auto& longest = this->longest_wait[item.selected->name];
-        longest = std::max(longest, *item.facts.time_left);
-        return longest - *item.facts.time_left;
+        const auto left = item.facts.time_left;
+        return left ? this->patience[item.selected->name].spent(*left) : duration::zero();
     }
 
     [[nodiscard]] duration usual_work(const route& selected) const {
@@ -723,6 +722,10 @@
     }
 }
 
+std::uint64_t forwarder::received() const noexcept {
+    return this->self->received;
+}
+
 std::size_t forwarder::open() const noexcept {
     return this->self->transactions.size();
 }
--- a/src/mangopulley/gateway/forwarder.hpp
+++ b/src/mangopulley/gateway/forwarder.hpp
@@ -70,6 +70,8 @@
     /*! @brief Replaces the rule for second sends, the number of instances that share it, and the rate of probes. */
     void configure(const repeat_rule& repeats, std::size_t instances, double probes_per_target);
 
+    /*! @brief Returns the number of requests received so far. */
+    [[nodiscard]] std::uint64_t received() const noexcept;
     /*! @brief Returns the number of requests that have no answer yet. */
     [[nodiscard]] std::size_t open() const noexcept;
     /*! @brief Describes the services, targets and lines for the state dump. */
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -31,7 +31,6 @@
 namespace {
 
 constexpr double most_request_lines_per_second = 300.0;
-constexpr std::size_t addresses_per_zone = 2U;
 // Short enough that callers leave a stopping instance before it ends, also those that keep a list three times as long.
 constexpr duration list_lifetime{std::chrono::milliseconds{1'300}};
 constexpr duration peer_fetch_timeout{std::chrono::milliseconds{500}};
@@ -46,8 +45,11 @@
 constexpr double answering_share_of_stop = 0.93;
 // Part of the fleet's budget of probes that is given out; the rest covers instances that disagree on their number.
 constexpr double usable_part_of_probes = 0.7;
-// Named leaders of a zone; others send requests only for a moment after a change.
-constexpr std::size_t sending_instances_per_zone = 2U;
+// Weight of the newest figure in the smoothed rate of requests.
+constexpr double rate_weight = 0.15;
+// An instance whose loop falls this far behind is named to callers last; the lower bound keeps it from alternating.
+constexpr duration strained_lag{std::chrono::milliseconds{40}};
+constexpr duration calm_lag{std::chrono::milliseconds{15}};
 
 [[nodiscard]] std::string ip_of(const std::string& endpoint) {
     return endpoint.substr(0U, endpoint.rfind(':'));
@@ -78,6 +80,11 @@
     bool ready_before{};
     /*! @brief Other instances that callers are told. */
     std::vector<std::string> named{};
+    /*! @brief Number of instances that callers are told. */
+    std::size_t sending{1U};
+    bool strained{};
+    double requests_per_second{};
+    std::uint64_t requests_before{};
 
     event_loop loop{this->time};
     decision_log log{"gateway", this->time, internal::most_request_lines_per_second};
@@ -89,9 +96,8 @@
                        scheduling_rule{},
                        forwarding_rule{}};
     peer_fetcher documents{this->loop, this->configuration.peer_port, internal::peer_fetch_timeout};
-    shared_load loads{[this](const std::uint32_t key, const std::uint32_t foreign) {
-        this->requests.set_foreign(key, foreign);
-    }};
+    shared_load loads{
+        [this](const std::uint32_t key, const std::uint32_t foreign) { this->requests.set_foreign(key, foreign); }};
     datagram_port datagrams{this->loop, this->peer_endpoint(this->configuration.ip),
                             [this](const std::string_view ip, const std::string_view bytes) {
                                 if (!this->loads.receive(ip, bytes, this->loop.now())) {
@@ -164,7 +170,7 @@
         return {[this](const std::string& ip, const std::string_view bytes) {
                     this->datagrams.send(this->peer_endpoint(ip), bytes);
                 },
-                [this](const std::string& ip, std::function<void(std::string&&)> done) {
+                [this](const std::string& ip, std::function<void(std::string &&)> done) {
                     this->documents.fetch(ip, "/members", std::move(done));
                 }};
     }
@@ -174,22 +180,49 @@
         record.incarnation = this->incarnation;
         record.identity = this->identity;
         record.ready = this->ready();
+        record.strained = this->strained;
+        record.requests_per_second = static_cast<std::uint32_t>(this->requests_per_second);
         this->follower.describe(record);
         return record;
     }
 
     /*! @brief Finds the other instances that callers are told, and so share the targets with this one. */
     void find_named() {
-        std::map<std::string, std::size_t> per_zone{};
-        this->named.clear();
+        std::map<std::string, std::vector<peer_record>> zones{};
         for (const auto& record : this->members.leaders()) {
-            if (++per_zone[record.identity.zone] <= internal::addresses_per_zone &&
-                record.identity.ip != this->identity.ip) {
-                this->named.push_back(record.identity.ip);
+            zones[record.identity.zone].push_back(record);
+        }
+        this->named.clear();
+        this->sending = 0U;
+        for (const auto& [zone, records] : zones) {
+            const auto count = named_count(records);
+            this->sending += count;
+            for (std::size_t index = 0U; index < count; ++index) {
+                if (records[index].identity.ip != this->identity.ip) {
+                    this->named.push_back(records[index].identity.ip);
+                }
             }
         }
     }
 
+    /*! @brief Measures the load of this instance for the choice of those that callers are told. */
+    void measure() {
+        const auto received = this->requests.received();
+        const auto rate = static_cast<double>(received - this->requests_before) /
+                          std::chrono::duration<double>(internal::full_load_period).count();
+        this->requests_before = received;
+        this->requests_per_second += (rate - this->requests_per_second) * internal::rate_weight;
+        const auto lag = this->loop.lag();
+        const bool now_strained = lag > (this->strained ? internal::calm_lag : internal::strained_lag);
+        if (now_strained != this->strained) {
+            this->strained = now_strained;
+            this->log.change("strain_changed",
+                             {{"strained", now_strained ? "yes" : "no"},
+                              {"lag_ms", std::to_string(std::chrono::duration_cast<milliseconds>(lag).count())}});
+            this->members.introduce();
+        }
+    }
+
     void tell_named(const std::string& bytes) {
         for (const auto& ip : this->named) {
             this->datagrams.send(this->peer_endpoint(ip), bytes);
@@ -220,8 +253,10 @@
             exchange.answer(internal::text_reply(404, ""));
             return;
         }
-        const auto chosen = choose_addresses(this->members.leaders(), query->region, query->zone,
-                                             internal::addresses_per_zone);
+        std::vector<std::string> chosen{};
+        for (const auto& record : choose_instances(this->members.leaders(), query->region, query->zone)) {
+            chosen.push_back(record.identity.caller_endpoint);
+        }
         if (chosen.empty()) {
             exchange.answer(internal::text_reply(503, ""));
             return;
@@ -299,18 +334,11 @@
 
     /*! @brief Gives this instance its part of the budgets that all instances share. */
     void share_budgets() {
-        const auto leaders = this->members.leaders();
-        std::vector<std::string> zones{};
-        for (const auto& record : leaders) {
-            if (std::find(zones.begin(), zones.end(), record.identity.zone) == zones.end()) {
-                zones.push_back(record.identity.zone);
-            }
-        }
-        const auto sending = std::max<std::size_t>(zones.size() * internal::sending_instances_per_zone, 1U);
+        const auto sharing = std::max<std::size_t>(this->sending, 1U);
         this->requests.configure(
             {this->configuration.repeat_ratio, this->configuration.repeat_slack, this->configuration.repeat_window},
-            std::min(sending, this->members.size()),
-            this->configuration.probes_per_target * internal::usable_part_of_probes / static_cast<double>(sending));
+            std::min(sharing, this->members.size()),
+            this->configuration.probes_per_target * internal::usable_part_of_probes / static_cast<double>(sharing));
     }
 
     void reload() {
@@ -398,6 +426,7 @@
         this->loop.every(internal::full_load_period, [this] {
             this->loads.expire(this->loop.now());
             this->find_named();
+            this->measure();
             if (this->requests.open() > 0U) {
                 this->tell_named(this->loads.all());
             }
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::uint64_t peer_format = 2U;
-constexpr std::uint32_t message_fields = 11U;
+constexpr std::uint64_t peer_format = 4U;
+constexpr std::uint32_t message_fields = 13U;
 constexpr std::uint32_t introduction_fields = 6U;
 constexpr std::uint32_t member_fields = 9U;
 constexpr std::uint32_t most_members = 16'384U;
@@ -50,6 +50,7 @@
     message_writer writer{};
     writer.array(internal::message_fields).number(internal::peer_format).number(record.incarnation);
     writer.boolean(record.ready).boolean(message.asks).number(message.members_digest);
+    writer.boolean(record.strained).number(record.requests_per_second);
     writer.number(record.config_revision);
     internal::write_age(writer, record.config_age);
     writer.number(record.targets_revision).number(record.targets_digest);
@@ -73,6 +74,8 @@
     record.ready = reader.boolean();
     message.asks = reader.boolean();
     message.members_digest = reader.number();
+    record.strained = reader.boolean();
+    record.requests_per_second = static_cast<std::uint32_t>(reader.number());
     record.config_revision = reader.number();
     record.config_age = internal::read_age(reader);
     record.targets_revision = reader.number();
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -28,6 +28,10 @@
     instance_identity identity{};
     /*! @brief Whether callers may be sent to the instance. */
     bool ready{};
+    /*! @brief Whether the instance is short of processor time. */
+    bool strained{};
+    /*! @brief Requests of callers in a second, smoothed. */
+    std::uint32_t requests_per_second{};
     std::uint64_t config_revision{};
     /*! @brief Age of the instance's knowledge that its configuration is the newest. */
     duration config_age{};
--- a/src/mangopulley/gateway/request_scheduler.cpp
+++ b/src/mangopulley/gateway/request_scheduler.cpp
@@ -185,7 +185,9 @@
             return nullptr;
         }
         const auto& choice = fresh ? fresh : any;
-        const bool meets_goal = now + choice->expected <= item.goal;
+        // A host of unknown pace is most likely at its usual one; only one known to be slow is worth waiting for.
+        const auto likely = fresh ? choice->expected : std::min<duration>(choice->expected, item.work);
+        const bool meets_goal = now + likely <= item.goal;
         const bool may_wait = item.goal - now > this->scaled(item.work, this->rule.waiting_margin);
         if (!meets_goal && may_wait) {
             return nullptr;
--- /dev/null
+++ b/src/mangopulley/gateway/usual_patience.cpp
@@ -0,0 +1,34 @@
+#include "usual_patience.hpp"
+
+#include <algorithm>
+
+namespace mangopulley {
+
+void usual_patience::note(const std::int64_t milliseconds_left) {
+    const auto known = std::find_if(this->entries.begin(), this->entries.end(),
+                                    [&](const entry& item) { return item.milliseconds_left == milliseconds_left; });
+    if (known != this->entries.end()) {
+        ++known->count;
+    } else if (this->entries.size() < most_entries) {
+        this->entries.push_back({milliseconds_left, 1U});
+    } else {
+        // Frequent items in bounded space (Misra and Gries, 1982): a new item cancels one of each.
+        for (auto& item : this->entries) {
+            --item.count;
+        }
+        std::erase_if(this->entries, [](const entry& item) { return item.count == 0U; });
+    }
+}
+
+duration usual_patience::spent(const duration time_left) {
+    const auto left = std::chrono::duration_cast<milliseconds>(time_left).count();
+    this->note(left);
+    const auto usual = std::max_element(this->entries.begin(), this->entries.end(),
+                                        [](const entry& one, const entry& other) { return one.count < other.count; });
+    if (usual == this->entries.end() || usual->milliseconds_left <= left) {
+        return duration::zero();
+    }
+    return milliseconds{usual->milliseconds_left - left};
+}
+
+} // namespace mangopulley
--- a/src/mangopulley/loop/event_loop.cpp
+++ b/src/mangopulley/loop/event_loop.cpp
@@ -17,6 +17,8 @@
 // Bounds how late the loop sees `stop` and signals that only set a flag.
 constexpr milliseconds longest_poll{50};
 constexpr duration poll_resolution{std::chrono::milliseconds{1}};
+// Smooths the lag over about as many turns.
+constexpr int lag_divisor = 16;
 
 struct loop_timer {
     timer_id id;
@@ -30,7 +32,7 @@
 
 struct event_loop::implementation {
     const clock& time;
-    Poco::Net::PollSet polled{};
+    Poco::Net::PollSet sockets{};
     std::unordered_map<int, std::shared_ptr<ready_callback>> watched{};
     std::multimap<time_point, internal::loop_timer> timers{};
     std::unordered_map<timer_id, std::multimap<time_point, internal::loop_timer>::iterator> by_id{};
@@ -38,6 +40,9 @@
     timer_id running{};
     bool running_cancelled{};
     std::atomic<bool> stopping{};
+    time_point polled_before{};
+    time_point polled{};
+    duration smoothed_lag{};
 
     void schedule(const time_point due, internal::loop_timer timer) {
         const auto id = timer.id;
@@ -45,6 +50,10 @@
     }
 
     void fire(const time_point now) {
+        if (!this->timers.empty()) {
+            const auto late = std::max<duration>(now - this->timers.begin()->first, duration::zero());
+            this->smoothed_lag += (late - this->smoothed_lag) / internal::lag_divisor;
+        }
         while (!this->timers.empty() && this->timers.begin()->first <= now) {
             auto entry = this->timers.extract(this->timers.begin());
             auto& timer = entry.mapped();
@@ -69,7 +78,10 @@
     void poll(const duration wait) {
         // The poll counts whole milliseconds; rounding down would spin until the timer is due.
         const auto rounded = std::chrono::ceil<milliseconds>(wait);
-        for (const auto& [socket, modes] : this->polled.poll(Poco::Timespan{rounded.count() * 1'000})) {
+        this->polled_before = this->polled;
+        const auto ready = this->sockets.poll(Poco::Timespan{rounded.count() * 1'000});
+        this->polled = this->time.now();
+        for (const auto& [socket, modes] : ready) {
             const auto position = this->watched.find(socket.impl()->sockfd());
             if (position != this->watched.end()) {
                 const auto action = position->second;
@@ -79,7 +91,10 @@
     }
 };
 
-event_loop::event_loop(const clock& time) : self{std::make_unique<implementation>(time)} {}
+event_loop::event_loop(const clock& time) : self{std::make_unique<implementation>(time)} {
+    this->self->polled = time.now();
+    this->self->polled_before = this->self->polled;
+}
 
 event_loop::~event_loop() = default;
 
@@ -87,6 +102,18 @@
     return this->self->time.now();
 }
 
+time_point event_loop::earliest_arrival() const noexcept {
+    return this->self->polled_before;
+}
+
+time_point event_loop::turn_began() const noexcept {
+    return this->self->polled;
+}
+
+duration event_loop::lag() const noexcept {
+    return this->self->smoothed_lag;
+}
+
 timer_id event_loop::after(const duration delay, callback action) {
     const auto id = ++this->self->last;
     this->self->schedule(this->now() + delay, {id, duration::zero(), std::move(action)});
@@ -112,16 +139,16 @@
 
 void event_loop::watch(const Poco::Net::Socket& socket, const int modes, ready_callback action) {
     this->self->watched[socket.impl()->sockfd()] = std::make_shared<ready_callback>(std::move(action));
-    this->self->polled.add(socket, modes);
+    this->self->sockets.add(socket, modes);
 }
 
 void event_loop::change(const Poco::Net::Socket& socket, const int modes) {
-    this->self->polled.update(socket, modes);
+    this->self->sockets.update(socket, modes);
 }
 
 void event_loop::forget(const Poco::Net::Socket& socket) noexcept {
     if (this->self->watched.erase(socket.impl()->sockfd()) > 0U) {
-        this->self->polled.remove(socket);
+        this->self->sockets.remove(socket);
     }
 }
 
--- a/src/mangopulley/loop/event_loop.hpp
+++ b/src/mangopulley/loop/event_loop.hpp
@@ -30,6 +30,17 @@
 
     /*! @brief Returns the monotonic time. */
     [[nodiscard]] time_point now() const noexcept;
+    /*!
+     * @brief Returns the earliest time at which what is served now can have arrived.
+     *
+     * While the loop was busy, bytes waited in the operating system; a deadline counted from when they are read would
+     * be too late by that time.
+     */
+    [[nodiscard]] time_point earliest_arrival() const noexcept;
+    /*! @brief Returns when the present turn began to serve sockets. */
+    [[nodiscard]] time_point turn_began() const noexcept;
+    /*! @brief Returns how late timers fire, smoothed; long when the process gets too little of the core. */
+    [[nodiscard]] duration lag() const noexcept;
 
     /**
      * @brief Calls a function once.
--- a/test/mangopulley/gateway/fleet.cpp
+++ b/test/mangopulley/gateway/fleet.cpp
@@ -11,12 +11,13 @@
 
 #include <CppUTest/TestHarness.h>
 
-using mangopulley::choose_addresses;
+using mangopulley::choose_instances;
 using mangopulley::duration;
 using mangopulley::event_loop;
 using mangopulley::fleet;
 using mangopulley::fleet_rule;
 using mangopulley::known_instance;
+using mangopulley::named_count;
 using mangopulley::peer_record;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -40,8 +41,12 @@
         auto& item = this->nodes[ip];
         item = node{};
         item.self.incarnation = ++this->incarnations;
-        item.self.identity = {"i" + std::to_string(number), ip, std::string{"zone-"} + "abc"[number % 3U], "region",
-                              ip + ":80", millicores};
+        item.self.identity = {"i" + std::to_string(number),
+                              ip,
+                              std::string{"zone-"} + "abc"[number % 3U],
+                              "region",
+                              ip + ":80",
+                              millicores};
         item.self.ready = true;
         fleet::outlets ways{};
         ways.send = [this, ip](const std::string& to, const std::string_view bytes) {
@@ -50,7 +55,7 @@
                 this->queue.push_back({ip, to, std::string{bytes}});
             }
         };
-        ways.fetch_members = [this, ip](const std::string& from, std::function<void(std::string&&)> done) {
+        ways.fetch_members = [this, ip](const std::string& from, std::function<void(std::string &&)> done) {
             this->loop.after(milliseconds{5}, [this, ip, from, done] { this->fetch(ip, from, done); });
         };
         item.members = std::make_unique<fleet>(
@@ -236,21 +241,45 @@
     CHECK_TRUE(sent[1] < 15U * sent[0]);
 }
 
-TEST_GROUP(choose_addresses) {
-    static peer_record make(const std::string& name, const std::string& zone, const std::string& region) {
-        peer_record record{};
-        record.identity = {name, name, zone, region, name + ":80", 200U};
-        return record;
-    }
-};
+TEST_GROUP(choose_instances){static peer_record make(const std::string& name, const std::string& zone,
+                                                     const std::uint32_t millicores = 200U,
+                                                     const std::uint32_t per_second = 0U){peer_record record{};
+record.identity = {name, name, zone, zone == "zc" ? "r2" : "r1", name + ":80", millicores};
+record.requests_per_second = per_second;
+return record;
+}
+
+static std::vector<std::string> names(const std::vector<peer_record>& records) {
+    return fleet_network::names(records);
+}
+}
+;
 
 // Guards against callers sent across zones while their own zone serves, and against callers without any address.
-TEST(choose_addresses, names_the_nearest_leaders) {
-    const std::vector<peer_record> leaders{make("a1", "za", "r1"), make("a2", "za", "r1"), make("a3", "za", "r1"),
-                                           make("b1", "zb", "r1"), make("c1", "zc", "r2")};
-    CHECK_TRUE((choose_addresses(leaders, "r1", "za", 2U) == std::vector<std::string>{"a1:80", "a2:80"}));
-    CHECK_TRUE((choose_addresses(leaders, "r1", "zb", 2U) == std::vector<std::string>{"b1:80"}));
-    CHECK_TRUE((choose_addresses(leaders, "r1", "zx", 2U) == std::vector<std::string>{"a1:80", "a2:80"}));
-    CHECK_TRUE((choose_addresses(leaders, "r9", "zy", 2U) == std::vector<std::string>{"a1:80", "a2:80"}));
-    CHECK_TRUE(choose_addresses({}, "r1", "za", 2U).empty());
+TEST(choose_instances, names_the_nearest_leaders) {
+    const std::vector<peer_record> leaders{make("a1", "za"), make("a2", "za"), make("a3", "za"), make("b1", "zb"),
+                                           make("c1", "zc")};
+    CHECK_TRUE((names(choose_instances(leaders, "r1", "za")) == std::vector<std::string>{"a1", "a2"}));
+    CHECK_TRUE((names(choose_instances(leaders, "r1", "zb")) == std::vector<std::string>{"b1"}));
+    CHECK_TRUE((names(choose_instances(leaders, "r1", "zx")) == std::vector<std::string>{"a1", "a2"}));
+    CHECK_TRUE((names(choose_instances(leaders, "r9", "zy")) == std::vector<std::string>{"a1", "a2"}));
+    CHECK_TRUE(choose_instances({}, "r1", "za").empty());
+}
+
+// Guards against a weak instance that gets as many requests as a strong one when another strong one has gone: it held
+// requests for 0.7 s and sent them to targets after their callers had left.
+TEST(choose_instances, names_as_many_as_the_weakest_needs) {
+    LONGS_EQUAL(
+        2, named_count(std::vector{make("s1", "z", 500U, 150U), make("s2", "z", 500U, 150U), make("w1", "z", 100U)}));
+    LONGS_EQUAL(1, named_count(std::vector{make("s2", "z", 500U, 150U), make("w1", "z", 100U), make("w2", "z", 100U)}));
+    std::vector<peer_record> zone{make("s2", "z", 500U, 300U)};
+    for (std::size_t number = 0U; number < 12U; ++number) {
+        zone.push_back(make("w" + std::to_string(number), "z", 100U));
+    }
+    LONGS_EQUAL(6, named_count(zone));
+    zone.erase(zone.begin());
+    zone.front().requests_per_second = 300U;
+    LONGS_EQUAL(6, named_count(zone));
+    LONGS_EQUAL(2, named_count(std::vector{make("a", "z"), make("b", "z"), make("c", "z")}));
+    LONGS_EQUAL(1, named_count(std::vector{make("a", "z")}));
 }
