Serve late requests only while most slots are free; ask for more slack in time

Cause: a late request (second send, or a caller that asks again) made an idle line look overloaded by itself and was refused with slots free (cause overloaded in the line of a request answered after 715 ms). Now they are served while at most 0.4 of the slots are busy.

--- a/src/mangopulley/gateway/request_scheduler.cpp
+++ b/src/mangopulley/gateway/request_scheduler.cpp
@@ -62,6 +62,16 @@
         return total;
     }
 
+    /*! @brief Returns the share of the slots that requests of all instances occupy. */
+    [[nodiscard]] double busy_share() const noexcept {
+        std::size_t busy = 0U;
+        for (const auto& target : this->pool.targets()) {
+            busy += target->listing.leaving ? 0U : target->in_flight + target->foreign;
+        }
+        const auto slots = this->pool.slots();
+        return slots == 0U ? 1.0 : static_cast<double>(busy) / static_cast<double>(slots);
+    }
+
     /*! @brief Returns the time until as many slots have come free as requests stand ahead. */
     [[nodiscard]] duration wait_behind(const std::size_t ahead) const noexcept {
         const auto slots = this->pool.slots();
@@ -109,7 +119,10 @@
     /*! @brief Tells whether the oldest request has used up so much of its time that not all can meet their goals. */
     [[nodiscard]] bool overloaded(const time_point now) const noexcept {
         return std::any_of(this->line.begin(), this->line.end(), [this, now](const request& item) {
-            return now - item->arrived > this->scaled(item->goal - item->arrived, this->rule.overload_share);
+            const auto given = item->goal - item->arrived;
+            // One that was late when it came says nothing about the line.
+            const bool came_in_time = given > this->scaled(item->work, this->rule.late_margin);
+            return came_in_time && now - item->arrived > this->scaled(given, this->rule.overload_share);
         });
     }
 
@@ -122,7 +135,7 @@
         if (now + this->scaled(item.work, this->rule.least_work) > item.deadline) {
             return refusal_reason::out_of_time;
         }
-        // Requests that can meet their goal take every slot of a crowded line; a late one would wait for nothing.
+        // A late answer is worth little, and in a slot that requests in time are about to need it makes others late.
         if (crowded && now + this->scaled(item.work, this->rule.late_margin) > item.goal) {
             return refusal_reason::overloaded;
         }
@@ -131,7 +144,7 @@
 
     void drop_hopeless(const time_point now) {
         std::vector<std::pair<request, refusal_reason>> dropped{};
-        const bool crowded = this->overloaded(now);
+        const bool crowded = this->overloaded(now) || this->busy_share() > this->rule.late_share;
         std::erase_if(this->line, [&](const request& item) {
             const auto reason = this->hopeless(*item, crowded, now);
             if (reason) {
--- a/src/mangopulley/gateway/request_scheduler.hpp
+++ b/src/mangopulley/gateway/request_scheduler.hpp
@@ -57,9 +57,11 @@
     /*! @brief Share of the usual work time below which no answer can be expected before the deadline. */
     double least_work{0.6};
     /*! @brief A request with less than this multiple of its work left to its goal counts as late. */
-    double late_margin{1.1};
+    double late_margin{1.5};
     /*! @brief The line counts as overloaded when its wait is above this share of the time to the goal. */
-    double overload_share{0.2};
+    double overload_share{0.15};
+    /*! @brief Share of the slots up to which late requests are served; above it targets work near their limit. */
+    double late_share{0.4};
     /*! @brief Probes of one target in a second that this instance may send. */
     double probes_per_target{8.0};
 };
--- a/test/mangopulley/gateway/request_scheduler.cpp
+++ b/test/mangopulley/gateway/request_scheduler.cpp
@@ -285,6 +285,29 @@
     CHECK_TRUE(refused["low"] == refusal_reason::no_target);
 }
 
+// Guards against a late request, such as a second send, being refused although most slots are free (it made the line
+// look overloaded by itself), and against one that takes a slot which requests in time are about to need.
+TEST(request_scheduler_line, serves_late_requests_only_while_most_slots_are_free) {
+    list(5U, 2U);
+    const auto submit_late = [this](const std::string& id) {
+        const auto late = make(id);
+        late->goal = now - milliseconds{50};
+        scheduler.submit(late, now);
+    };
+    submit_late("alone");
+    CHECK_EQUAL(std::string{"alone"}, sent.back());
+    for (int number = 0; number < 3; ++number) {
+        scheduler.submit(make("in time " + std::to_string(number)), now);
+    }
+    submit_late("at the limit");
+    LONGS_EQUAL(0, refused.size());
+    CHECK_EQUAL(std::string{"at the limit"}, sent.back());
+    submit_late("beyond");
+    CHECK_TRUE(refused["beyond"] == refusal_reason::overloaded);
+    scheduler.submit(make("still in time"), now);
+    CHECK_EQUAL(std::string{"still in time"}, sent.back());
+}
+
 // Guards against work for callers that have left.
 TEST(request_scheduler_line, sends_nothing_for_a_withdrawn_request) {
     list(1U, 1U);
