Test real gateway processes against a store and targets on loopback

Three instances, four targets and a store in the test; callers at 100 requests a second. Instances are killed and started again, one is stopped, a target leaves, routes change, the store goes away. Checks what callers and targets see: no non-idempotent request twice, none run that was refused, no answer mixed up, 9 in 10 answered under kills, none lost in a planned stop.

--- /dev/null
+++ b/test/integration/gateway_platform.cpp
@@ -0,0 +1,325 @@
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fake/loopback_target.hpp>
+#include <mangopulley/core/clock.hpp>
+#include <mangopulley/gateway/caller_port.hpp>
+#include <mangopulley/http/http_channel.hpp>
+#include <nlohmann/json.hpp>
+#include <standin/common/process.hpp>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+using fake::loopback_target;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t instance_count = 3U;
+constexpr std::size_t target_count = 4U;
+constexpr milliseconds work_time{30};
+constexpr milliseconds bound{2'000};
+
+/*! @brief Platform's store on a loopback port: two kinds of objects, read only. */
+class object_store {
+public:
+    explicit object_store(event_loop& loop)
+        : port{loop, "127.0.0.1:0", [] { return http_limits{}; },
+               [this](const std::shared_ptr<caller_exchange>& exchange) { this->answer(exchange); }} {}
+
+    [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->port.port()); }
+
+    void put_config(const std::string& prefix) {
+        ++this->revision;
+        this->config = {{"metadata", {{"name", "main"}, {"revision", this->revision}}},
+                        {"spec",
+                         {{"version", this->revision},
+                          {"routes",
+                           {{{"name", "get"},
+                             {"host", "h.example"},
+                             {"path_prefix", "/get/"},
+                             {"kind", "idempotent"},
+                             {"timeout_s", 1.5},
+                             {"latency_goal_s", 0.3},
+                             {"attempts", 2},
+                             {"service", "proof"}},
+                            {{"name", "put"},
+                             {"host", "h.example"},
+                             {"path_prefix", prefix},
+                             {"kind", "non_idempotent"},
+                             {"timeout_s", 1.5},
+                             {"latency_goal_s", 0.3},
+                             {"attempts", 2},
+                             {"service", "proof"}}}},
+                          {"services", {{{"name", "proof"}, {"health_path", "/health"}, {"max_conns", 220}}}}}}};
+    }
+
+    void put_target(const std::string& id, const std::string& endpoint, const std::string& state) {
+        ++this->revision;
+        this->targets[id] = {{"metadata", {{"name", id}, {"revision", this->revision}}},
+                             {"spec",
+                              {{"service", "proof"},
+                               {"address", endpoint},
+                               {"zone", "z"},
+                               {"slots", 2},
+                               {"state", state},
+                               {"born", 1}}}};
+    }
+
+    bool away{};
+    int calls{};
+
+private:
+    void answer(const std::shared_ptr<caller_exchange>& exchange) {
+        ++this->calls;
+        http_reply reply{};
+        if (this->away) {
+            reply.status = 503;
+        } else if (exchange->request().path == "/v1/objects/servers") {
+            auto items = json::array();
+            for (const auto& [id, object] : this->targets) {
+                items.push_back(object);
+            }
+            reply.body = json{{"items", items}, {"has_more", false}, {"store_revision", this->revision}}.dump();
+        } else if (exchange->request().path == "/v1/objects/config/main" && !this->config.is_null()) {
+            reply.body = this->config.dump();
+        } else {
+            reply.status = 404;
+        }
+        exchange->answer(reply);
+    }
+
+    std::uint64_t revision{};
+    json config{};
+    std::map<std::string, json> targets{};
+    caller_port port;
+};
+
+/*! @brief What callers were told, and what the targets ran. */
+struct history {
+    int asked{};
+    int answered{};
+    int refused{};
+    int unknown{};
+    int not_found{};
+    int mixed{};
+    std::map<std::string, int> runs{};
+    std::set<std::string> said_not_run{};
+};
+
+} // namespace
+
+TEST_GROUP(gateway_platform) {
+    system_clock_source time{};
+    event_loop loop{time};
+    std::unique_ptr<object_store> store{};
+    std::vector<std::unique_ptr<loopback_target>> targets{};
+    std::vector<std::unique_ptr<standin::process>> instances{};
+    std::map<int, std::unique_ptr<http_channel>> callers{};
+    history seen{};
+    std::string prefix{"/put/"};
+    std::size_t next_instance{};
+    int next_caller{};
+    std::filesystem::path folder{std::filesystem::temp_directory_path() / ("gateway-" + std::to_string(::getpid()))};
+
+    void setup() override {
+        std::filesystem::create_directories(folder);
+        store = std::make_unique<object_store>(loop);
+        for (std::size_t index = 0U; index < target_count; ++index) {
+            add_target("t" + std::to_string(index));
+        }
+        instances.resize(instance_count);
+    }
+
+    void teardown() override {
+        callers.clear();
+        instances.clear();
+        targets.clear();
+        store.reset();
+        std::filesystem::remove_all(folder);
+    }
+
+    void add_target(const std::string& id) {
+        targets.push_back(std::make_unique<loopback_target>(
+            loop, id, [this](loopback_target::connection& from, const http_request& request) { run(from, request); }));
+        store->put_target(id, targets.back()->endpoint(), "ready");
+    }
+
+    void run(loopback_target::connection & from, const http_request& request) {
+        const auto id = request.head.get("Mangopulley-Request-Id", "");
+        ++seen.runs[id];
+        const auto body = "ran " + id;
+        const auto text =
+            "HTTP/1.1 200 OK\r\nMangopulley-Request-Id: " + id +
+            "\r\nMangopulley-Response-Stamp: s\r\nMangopulley-Server-Load: 0,0,2,100\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body;
+        // The connection stays with its target until the answer, unless the caller's instance closes it.
+        loop.after(work_time, [&from, text] {
+            if (from.bytes) {
+                from.write(text);
+            }
+        });
+    }
+
+    static std::string ip(const std::size_t index) {
+        return "127.0.0." + std::to_string(11U + index);
+    }
+
+    void start(const std::size_t index) {
+        const auto path = folder / ("instance" + std::to_string(index) + ".yaml");
+        std::ofstream file{path};
+        const auto own = ip(index);
+        file << "instance: {name: i" << index << ", ip: " << own << ", zone: z, region: r}\n"
+             << "listen: {callers: \"" << own << ":18081\", readiness: \"" << own << ":18082\", directory: \"" << own
+             << ":18083\", operators: \"" << own << ":18084\"}\n"
+             << "peers: {port: 18085, seeds: [\"" << ip(0U) << ":1\", \"" << ip(1U) << ":1\"]}\n"
+             << "platform: {store: \"" << store->endpoint() << "\"}\n"
+             << "bounds: {stop_s: 2.5}\n";
+        file.close();
+        instances[index] =
+            std::make_unique<standin::process>(std::filesystem::path{MANGOPULLEY_BINARY_DIR} / "mangopulley",
+                                               std::vector<std::string>{"gateway", "--settings", path.string()},
+                                               folder / ("output" + std::to_string(index)));
+    }
+
+    void pass(const duration length) {
+        const auto end = time.now() + length;
+        while (time.now() < end) {
+            loop.turn(milliseconds{5});
+        }
+    }
+
+    /*! @brief Sends one request and notes what becomes of it; asks another instance when none can be reached. */
+    void ask(const std::string& method, const std::string& path, const std::string& id, const std::size_t tries = 2U) {
+        const auto endpoint = ip(next_instance++ % instance_count) + ":18081";
+        const int caller = next_caller++;
+        callers[caller] = std::make_unique<http_channel>(loop, endpoint, stream_timing{}, 100'000U);
+        const auto text = method + " " + path + "x HTTP/1.1\r\nHost: h.example\r\nMangopulley-Request-Id: " + id +
+                          "\r\nMangopulley-Deadline-Ms: 2000\r\n" +
+                          (method == "PUT" ? "Content-Length: 2\r\n\r\nab" : "\r\n");
+        callers[caller]->send(text, false, {}, [=, this](exchange_outcome&& outcome) {
+            if (outcome.failure == network_error::code::connect_failed && tries > 0U) {
+                ask(method, path, id, tries - 1U);
+                return;
+            }
+            note(id, outcome);
+            // Destroyed by the next turn: this is the channel's own callback.
+            loop.after(duration::zero(), [this, caller] { callers.erase(caller); });
+        });
+    }
+
+    void note(const std::string& id, const exchange_outcome& outcome) {
+        const int status = outcome.failure ? 0 : outcome.response.status();
+        if (status == 200) {
+            ++seen.answered;
+            seen.mixed += outcome.response.body == "ran " + id ? 0 : 1;
+        } else if (status == 503 || status == 429) {
+            ++seen.refused;
+            seen.said_not_run.insert(id);
+        } else if (status == 404) {
+            ++seen.not_found;
+        } else {
+            ++seen.unknown;
+        }
+    }
+
+    /*! @brief Sends about 100 requests in a second, half of them not idempotent. */
+    void load(const duration length) {
+        const auto end = time.now() + length;
+        while (time.now() < end) {
+            const auto id = std::to_string(++seen.asked);
+            if (seen.asked % 2 == 0) {
+                ask("PUT", prefix, "p" + id);
+            } else {
+                ask("GET", "/get/", "g" + id);
+            }
+            pass(milliseconds{10});
+        }
+    }
+
+    void check_promises() const {
+        for (const auto& [id, count] : seen.runs) {
+            CHECK_TRUE_TEXT(id.front() != 'p' || count == 1, "a non-idempotent request runs once at most");
+            CHECK_FALSE_TEXT(id.front() == 'p' && seen.said_not_run.contains(id), "a refused request has not run");
+        }
+        LONGS_EQUAL_TEXT(0, seen.mixed, "every answer belongs to its request");
+    }
+
+    /*! @brief Waits until all instances answer requests. */
+    void begin() {
+        store->put_config(prefix);
+        for (std::size_t index = 0U; index < instance_count; ++index) {
+            start(index);
+        }
+        const auto latest = time.now() + seconds{20};
+        for (int good = 0; good < 12 && time.now() < latest;) {
+            const auto before = seen.answered;
+            ask("GET", "/get/", "g0");
+            pass(milliseconds{100});
+            good = seen.answered > before ? good + 1 : 0;
+        }
+        CHECK_TRUE(seen.answered >= 12);
+        seen = {};
+    }
+};
+
+// Guards against requests lost, doubled or mixed up while instances are killed and start again.
+TEST(gateway_platform, keeps_its_promises_while_instances_are_killed) {
+    begin();
+    load(milliseconds{500});
+    for (const std::size_t victim : {1U, 0U}) {
+        instances[victim]->kill();
+        load(milliseconds{1'200});
+        start(victim);
+        load(milliseconds{1'500});
+    }
+    pass(seconds{2});
+    check_promises();
+    CHECK_TRUE_TEXT(seen.answered * 10 >= seen.asked * 9, "nine in ten requests are answered");
+}
+
+// Guards against a planned stop that cuts requests off.
+TEST(gateway_platform, loses_no_request_in_a_planned_stop) {
+    begin();
+    load(milliseconds{500});
+    instances[1U]->signal(SIGTERM);
+    load(milliseconds{3'200});
+    pass(seconds{2});
+    check_promises();
+    CHECK_TRUE(instances[1U]->wait_exit(seconds{3}) == 0);
+    LONGS_EQUAL(0, seen.unknown);
+    LONGS_EQUAL(seen.asked, seen.answered + seen.refused);
+}
+
+// Guards against old routes and leaving targets later than 2 s after the store knew, and against a store outage that
+// stops the service.
+TEST(gateway_platform, follows_the_store_within_its_bound_and_outlives_it) {
+    begin();
+    targets.front()->received.clear();
+    store->put_target("t0", targets.front()->endpoint(), "draining");
+    prefix = "/new/";
+    store->put_config(prefix);
+    pass(bound);
+    targets.front()->received.clear();
+    load(milliseconds{1'000});
+    pass(milliseconds{500});
+    LONGS_EQUAL(0, targets.front()->received.size());
+    LONGS_EQUAL(0, seen.not_found);
+    store->away = true;
+    load(seconds{4});
+    pass(milliseconds{500});
+    CHECK_TRUE(seen.answered * 100 >= seen.asked * 98);
+    check_promises();
+}
