--- a/test/mangopulley/gateway/fleet.cpp
+++ b/test/mangopulley/gateway/fleet.cpp
@@ -56,7 +56,8 @@
             }
         };
         ways.fetch_members = [this, ip](const std::string& from, std::function<void(std::string &&)> done) {
-            this->loop.after(milliseconds{5}, [this, ip, from, done] { this->fetch(ip, from, done); });
+            this->loop.after(milliseconds{5},
+                             [this, ip, from, done = std::move(done)] { this->fetch(ip, from, done); });
         };
         item.members = std::make_unique<fleet>(
             this->loop, fleet_rule{}, ways, [this, ip] { return this->nodes[ip].self; },
@@ -84,6 +85,7 @@
 
     [[nodiscard]] static std::vector<std::string> names(const std::vector<peer_record>& records) {
         std::vector<std::string> all{};
+        all.reserve(records.size());
         for (const auto& record : records) {
             all.push_back(record.identity.name);
         }
--- a/test/platform/record_decoder.cpp
+++ b/test/platform/record_decoder.cpp
@@ -98,10 +98,15 @@
 
 // Guards against a half-read configuration being put in force.
 TEST(record_decoder, rejects_a_configuration_that_is_not_whole) {
-    for (const char* spec : {"null", "{}", R"({"version":1})", R"({"version":"1","routes":[]})",
-                             R"({"version":1,"routes":[{"host":"h"}]})",
-                             R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"idempotent",)"
-                             R"("timeout_s":-1,"service":"s"}]})"}) {
-        CHECK_FALSE(decode_config_object(object("main", spec)).has_value());
+    const std::string negative_time = R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"idempotent",)"
+                                      R"("timeout_s":-1,"service":"s"}]})";
+    const std::string specs[]{"null",
+                              "{}",
+                              R"({"version":1})",
+                              R"({"version":"1","routes":[]})",
+                              R"({"version":1,"routes":[{"host":"h"}]})",
+                              negative_time};
+    for (const auto& spec : specs) {
+        CHECK_FALSE_TEXT(decode_config_object(object("main", spec)).has_value(), spec.c_str());
     }
 }
