--- a/test/fake/loopback_target.hpp
+++ b/test/fake/loopback_target.hpp
@@ -56,8 +56,8 @@
 private:
     void accept(const Poco::Net::StreamSocket& socket) {
         ++this->accepted;
-        auto item = std::make_shared<connection>(
-            connection{nullptr, mangopulley::request_parser{mangopulley::http_limits{}}});
+        auto item =
+            std::make_shared<connection>(connection{nullptr, mangopulley::request_parser{mangopulley::http_limits{}}});
         mangopulley::stream::events events{};
         std::weak_ptr<connection> held = item;
         events.received = [this, held](const std::string_view bytes) {
@@ -72,8 +72,8 @@
                 from->close();
             }
         };
-        item->bytes = std::make_unique<mangopulley::stream>(this->loop, socket, mangopulley::stream_timing{},
-                                                            std::move(events));
+        item->bytes =
+            std::make_unique<mangopulley::stream>(this->loop, socket, mangopulley::stream_timing{}, std::move(events));
         this->connections.push_back(std::move(item));
     }
 
--- a/test/fake/plain_dialect.hpp
+++ b/test/fake/plain_dialect.hpp
@@ -29,8 +29,7 @@
         head.append("X-Target: ").append(target.id).append("\r\n");
     }
 
-    [[nodiscard]] mangopulley::response_facts
-    read_response(const mangopulley::http_response& response) const override {
+    [[nodiscard]] mangopulley::response_facts read_response(const mangopulley::http_response& response) const override {
         mangopulley::response_facts facts{};
         facts.request_id = response.head.get("X-Id", "");
         facts.genuine = response.head.has("X-Stamp");
--- a/test/mangopulley/gateway/caller_port.cpp
+++ b/test/mangopulley/gateway/caller_port.cpp
@@ -22,7 +22,9 @@
     std::string received{};
     bool closed{};
 
-    void setup() override { limits.accept_chunked = true; }
+    void setup() override {
+        limits.accept_chunked = true;
+    }
 
     void teardown() override {
         waiting.clear();
@@ -63,7 +65,9 @@
         CHECK_TRUE(condition());
     }
 
-    static std::string get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"; }
+    static std::string get(const std::string& path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
 };
 
 // Guards against answers out of the order of their requests on one connection.
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -67,9 +67,8 @@
         config.revision = routes.current()->revision + 1U;
         config.version = config.revision;
         config.services = {{"proof", "/health", 220U}};
-        config.routes = {
-            {"get", "h", "/get/", true, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}},
-            {"put", "h", "/put/", false, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}}};
+        config.routes = {{"get", "h", "/get/", true, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}},
+                         {"put", "h", "/put/", false, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}}};
         CHECK_TRUE(routes.apply(config));
     }
 
--- a/test/mangopulley/gateway/request_scheduler.cpp
+++ b/test/mangopulley/gateway/request_scheduler.cpp
@@ -122,7 +122,8 @@
     /*! @brief Pace of a host, drawn anew every 150 ms. */
     [[nodiscard]] double pace(const std::string& host) const {
         const auto period = this->now.time_since_epoch() / milliseconds{150};
-        std::mt19937 draw{static_cast<std::uint32_t>(std::hash<std::string>{}(host) + static_cast<std::size_t>(period))};
+        std::mt19937 draw{
+            static_cast<std::uint32_t>(std::hash<std::string>{}(host) + static_cast<std::size_t>(period))};
         draw.discard(3U);
         return std::uniform_real_distribution<double>{}(draw) < this->noise ? 5.0 : 1.0;
     }
@@ -132,8 +133,8 @@
         actions.send = [this](const request_scheduler::request& item, const target_pool::handle& target) {
             const double full = target->in_flight >= 2U ? 1.5 : 1.0;
             const double spread = std::uniform_real_distribution<double>{0.7, 1.3}(this->random);
-            const auto taken = std::chrono::duration_cast<duration>(
-                usual_work * this->pace(target->listing.id) * full * spread);
+            const auto taken =
+                std::chrono::duration_cast<duration>(usual_work * this->pace(target->listing.id) * full * spread);
             this->at(this->now + taken, [this, item, target, taken] { this->finish(item, target, taken); });
         };
         actions.probe = [this](const target_pool::handle& target) {
--- a/test/mangopulley/gateway/shared_load.cpp
+++ b/test/mangopulley/gateway/shared_load.cpp
@@ -51,7 +51,8 @@
 
 // Guards against foreign bytes on the port.
 TEST(shared_load, rejects_what_is_no_message) {
-    for (const char* bytes : {"", "x", "\x93\x01\xc2\x90", "\x93\x03\xc2\x91\x01", "\x93\x03\xc2\xdd\xff\xff\xff\xff"}) {
+    for (const char* bytes :
+         {"", "x", "\x93\x01\xc2\x90", "\x93\x03\xc2\x91\x01", "\x93\x03\xc2\xdd\xff\xff\xff\xff"}) {
         CHECK_FALSE(here.receive("10.0.0.9", bytes, now));
     }
     CHECK_TRUE(told.empty());
--- a/test/mangopulley/gateway/target_pool.cpp
+++ b/test/mangopulley/gateway/target_pool.cpp
@@ -39,7 +39,9 @@
         return rule;
     }()};
 
-    void list(const std::vector<listed_target>& targets) { pool.update(targets, now); }
+    void list(const std::vector<listed_target>& targets) {
+        pool.update(targets, now);
+    }
 
     std::string best(const std::vector<std::string>& excluded = {}, const bool fresh_only = false) {
         const auto found = pool.best({usual_work, excluded, fresh_only}, now);
