Remove the watch on the configuration, which nothing calls

The design reads the configuration with the target list; docs/platform.md says why a watch was not used.

--- a/src/mangopulley/gateway/platform_client.hpp
+++ b/src/mangopulley/gateway/platform_client.hpp
@@ -54,15 +54,6 @@
     virtual void read_targets(duration timeout, completion<target_list> done) = 0;
     /*! @brief Reads the routing configuration as it is now; parameters as of `read_targets`. */
     virtual void read_config(duration timeout, completion<routing_config> done) = 0;
-    /**
-     * @brief Waits for a configuration newer than a revision.
-     * @param revision Revision known so far.
-     * @param wait Time after which the platform answers that there is none; then the revision in the answer is 0.
-     * @param timeout Longest time for the whole call.
-     * @param done Called once, never before this call returns.
-     */
-    virtual void await_config(std::uint64_t revision, duration wait, duration timeout,
-                              completion<routing_config> done) = 0;
     /*! @brief Tells how many calls this client has made. */
     [[nodiscard]] virtual std::uint64_t calls() const noexcept = 0;
 };
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -61,9 +61,6 @@
     void read_config(const duration timeout, completion<routing_config> done) override {
         this->answer(timeout, this->platform.config, std::move(done));
     }
-    void await_config(std::uint64_t, duration, const duration timeout, completion<routing_config> done) override {
-        this->answer(timeout, this->platform.config, std::move(done));
-    }
     [[nodiscard]] std::uint64_t calls() const noexcept override { return this->made; }
 
     bool refused{};
