Look at the line of readers only when a document may be due

Cause (read-through): every 25 ms each instance sorted all known instances to find its place in line, although nothing is due before the first place's age of 1.2 s. Also drops a field of pool_target that nothing read.

--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -57,6 +57,11 @@
 
     void follow() {
         const auto time = this->now();
+        this->drop_missing(time);
+        // The place in line costs a look at all instances; nothing is due before the first place's age.
+        if (std::max(this->targets.age(time), this->configs.age(time)) < this->rule.read_age) {
+            return;
+        }
         const auto allowed = this->allowed_age();
         const bool waiting = time - this->started < this->environment.first_read_delay();
         if (this->due(this->targets, allowed, time) && (this->targets.as_of || !waiting)) {
@@ -65,7 +70,6 @@
         if (this->due(this->configs, allowed, time) && (this->configs.as_of || !waiting)) {
             this->read_config();
         }
-        this->drop_missing(time);
     }
 
     [[nodiscard]] static bool due(const internal::reading& state, const duration allowed, const time_point time) {
--- a/src/mangopulley/gateway/target_pool.cpp
+++ b/src/mangopulley/gateway/target_pool.cpp
@@ -50,7 +50,6 @@
         }
         auto fresh = std::make_shared<pool_target>();
         fresh->listing = item;
-        fresh->joined = now;
         fresh->warm_until = now + item.warm_up;
         next.push_back(std::move(fresh));
     }
--- a/src/mangopulley/gateway/target_pool.hpp
+++ b/src/mangopulley/gateway/target_pool.hpp
@@ -34,7 +34,6 @@
     /*! @brief False once the target has gone from the list; requests in flight may still end. */
     bool listed{true};
     time_point warm_until{};
-    time_point joined{};
     std::uint32_t in_flight{};
     std::optional<load_reading> reading{};
     time_point read_at{};
