Split the gateway process and put code that stood twice in one place

Cause: gateway_process.cpp had 513 lines and held the exchange of loads, the directory and the documents for other instances besides the composition. The list of log levels and the readers of settings stood in settings.cpp and gateway_settings.cpp, FNV-1a in listed_target.cpp and rendezvous.hpp.

load_sharing, directory_service and peer_service are classes of their own; gateway_process.cpp has 433 lines. settings/field_readers.hpp and fnv_hash.hpp hold the shared code. The end mark of the last text now enters the rank of rendezvous hashing, so that another instance of equal strength may lead. An instance with requests of callers that left in flight goes on telling its counts, which stopped with the last open request before.

--- /dev/null
+++ b/src/mangopulley/gateway/directory_service.cpp
@@ -0,0 +1,37 @@
+#include "directory_service.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "fleet.hpp"
+
+namespace mangopulley {
+
+directory_service::directory_service(parts used, const directory_rule& bounds)
+    : environment{std::move(used)}, rule{bounds} {}
+
+void directory_service::answer_readiness(caller_exchange& exchange) const {
+    const bool asked = this->environment.speech.asks_readiness(exchange.request());
+    exchange.answer(text_reply(!asked ? 404 : this->environment.ready() ? 200 : 503, ""));
+}
+
+void directory_service::answer_query(caller_exchange& exchange) const {
+    const auto query = this->environment.speech.read_address_query(exchange.request());
+    if (!query) {
+        exchange.answer(text_reply(404, ""));
+        return;
+    }
+    std::vector<std::string> chosen{};
+    for (const auto& record : choose_instances(this->environment.leaders(), query->region, query->zone)) {
+        chosen.push_back(record.identity.caller_endpoint);
+    }
+    if (chosen.empty()) {
+        exchange.answer(text_reply(503, ""));
+        return;
+    }
+    const auto lifetime = std::min(this->rule.list_lifetime, this->environment.longest_lifetime());
+    exchange.answer(this->environment.speech.write_addresses(chosen, lifetime));
+}
+
+} // namespace mangopulley
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -15,14 +14,15 @@
 #include "../observe/decision_log.hpp"
 #include "../observe/metrics.hpp"
 #include "caller_port.hpp"
-#include "document_codec.hpp"
+#include "directory_service.hpp"
 #include "fleet.hpp"
 #include "forwarder.hpp"
+#include "load_sharing.hpp"
 #include "peer_fetcher.hpp"
+#include "peer_service.hpp"
 #include "platform_adapter.hpp"
 #include "platform_follower.hpp"
 #include "route_table.hpp"
-#include "shared_load.hpp"
 
 namespace mangopulley {
 
@@ -31,12 +31,7 @@
 namespace {
 
 constexpr double most_request_lines_per_second = 300.0;
-// Short enough that callers leave a stopping instance before it ends, also those that keep a list three times as long.
-constexpr duration list_lifetime{std::chrono::milliseconds{1'300}};
 constexpr duration peer_fetch_timeout{std::chrono::milliseconds{500}};
-// Changed counts of requests in flight are sent at this period; a target's answer takes many times longer.
-constexpr duration load_period{std::chrono::milliseconds{4}};
-constexpr duration full_load_period{std::chrono::milliseconds{250}};
 // A new instance that hears from no other reads the platform after this.
 constexpr duration lone_read_delay{std::chrono::milliseconds{400}};
 // One that hears from others leaves the first read to them for this long, and for a few steps that set it apart.
@@ -51,6 +46,7 @@
 constexpr double answering_share_of_stop = 0.93;
 // Part of the fleet's budget of probes that is given out; the rest covers instances that disagree on their number.
 constexpr double usable_part_of_probes = 0.7;
+constexpr duration measure_period{std::chrono::milliseconds{250}};
 // Weight of the newest figure in the smoothed rate of requests.
 constexpr double rate_weight = 0.15;
 // An instance whose loop falls this far behind is named to callers last; the lower bound keeps it from alternating.
@@ -61,14 +57,6 @@
     return endpoint.substr(0U, endpoint.rfind(':'));
 }
 
-[[nodiscard]] http_reply text_reply(const int status, std::string text) {
-    http_reply reply{};
-    reply.status = status;
-    reply.content_type = "text/plain";
-    reply.body = std::move(text);
-    return reply;
-}
-
 } // namespace
 
 } // namespace internal
@@ -84,12 +72,7 @@
     std::atomic<bool> reload_requested{};
     bool stopping{};
     bool ready_before{};
-    /*! @brief Other instances that callers are told. */
-    std::vector<std::string> named{};
-    /*! @brief Number of instances that callers are told. */
-    std::size_t sending{1U};
     bool strained{};
-    bool load_told_soon{};
     double requests_per_second{};
     std::uint64_t requests_before{};
 
@@ -103,27 +86,28 @@
                        scheduling_rule{},
                        forwarding_rule{}};
     peer_fetcher documents{this->loop, this->configuration.peer_port, internal::peer_fetch_timeout};
-    shared_load loads{
-        [this](const std::uint32_t key, const std::uint32_t foreign) { this->requests.set_foreign(key, foreign); }};
     datagram_port datagrams{this->loop, this->peer_endpoint(this->configuration.ip),
                             [this](const std::string_view ip, const std::string_view bytes) {
-                                if (!this->loads.receive(ip, bytes, this->loop.now())) {
+                                if (!this->loads.receive(ip, bytes)) {
                                     this->members.receive(ip, bytes);
                                 }
                             }};
     fleet members{this->loop, fleet_rule{}, this->fleet_outlets(), [this] { return this->describe_self(); },
                   [this](const std::string& ip, const peer_record& record) { this->follower.hear(ip, record); }};
+    load_sharing loads{this->loop, load_sharing_rule{}, this->configuration.ip, this->load_outlets()};
     platform_follower follower{this->follower_parts(), follower_rule{}};
+    directory_service addresses{this->directory_parts(), directory_rule{}};
+    peer_service documents_told{this->follower, [this] { return this->known_instances(); }};
     caller_port callers{this->loop, this->configuration.caller_endpoint, [this] { return this->caller_bounds(); },
                         [this](const auto& exchange) { this->requests.handle(exchange); }};
     caller_port readiness{this->loop, this->configuration.readiness_endpoint, [] { return http_limits{}; },
-                          [this](const auto& exchange) { this->answer_readiness(*exchange); }};
+                          [this](const auto& exchange) { this->addresses.answer_readiness(*exchange); }};
     caller_port directory{this->loop, this->configuration.directory_endpoint, [] { return http_limits{}; },
-                          [this](const auto& exchange) { this->answer_lookup(*exchange); }};
+                          [this](const auto& exchange) { this->addresses.answer_query(*exchange); }};
     caller_port operators{this->loop, this->configuration.operator_endpoint, [] { return http_limits{}; },
                           [this](const auto& exchange) { this->answer_operator(*exchange); }};
     caller_port peers{this->loop, this->peer_endpoint(this->configuration.ip), [] { return http_limits{}; },
-                      [this](const auto& exchange) { this->answer_peer(*exchange); }};
+                      [this](const auto& exchange) { this->documents_told.answer(*exchange); }};
 
     implementation(gateway_settings values, const clock& source, std::function<std::string()> reader,
                    const platform_factory& factory)
@@ -131,7 +115,7 @@
           read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
         this->settings_text = this->read_settings();
         this->requests.on_load_change(
-            [this](const std::uint32_t key, const std::uint32_t in_flight) { this->note_load(key, in_flight); });
+            [this](const std::uint32_t key, const std::uint32_t in_flight) { this->loads.note(key, in_flight); });
         this->apply_settings();
     }
 
@@ -207,30 +191,31 @@
         return record;
     }
 
-    /*! @brief Finds the other instances that callers are told, and so share the targets with this one. */
-    void find_named() {
-        std::map<std::string, std::vector<peer_record>> zones{};
-        for (const auto& record : this->members.leaders()) {
-            zones[record.identity.zone].push_back(record);
-        }
-        this->named.clear();
-        this->sending = 0U;
-        for (const auto& [zone, records] : zones) {
-            const auto count = named_count(records);
-            this->sending += count;
-            for (std::size_t index = 0U; index < count; ++index) {
-                if (records[index].identity.ip != this->identity.ip) {
-                    this->named.push_back(records[index].identity.ip);
-                }
-            }
-        }
+    [[nodiscard]] load_sharing::outlets load_outlets() {
+        return {
+            [this] { return this->members.leaders(); },
+            [this](const std::string& ip, const std::string& bytes) {
+                this->datagrams.send(this->peer_endpoint(ip), bytes);
+            },
+            [this](const std::uint32_t key, const std::uint32_t foreign) { this->requests.set_foreign(key, foreign); }};
+    }
+
+    [[nodiscard]] directory_service::parts directory_parts() {
+        return {*this->platform.speech, [this] { return this->ready(); }, [this] { return this->members.leaders(); },
+                [this] { return this->configuration.longest_lifetime; }};
+    }
+
+    [[nodiscard]] std::vector<known_instance> known_instances() const {
+        auto known = this->members.members();
+        known.push_back({this->describe_self(), duration::zero()});
+        return known;
     }
 
     /*! @brief Measures the load of this instance for the choice of those that callers are told. */
     void measure() {
         const auto received = this->requests.received();
         const auto rate = static_cast<double>(received - this->requests_before) /
-                          std::chrono::duration<double>(internal::full_load_period).count();
+                          std::chrono::duration<double>(internal::measure_period).count();
         this->requests_before = received;
         this->requests_per_second += (rate - this->requests_per_second) * internal::rate_weight;
         const auto lag = this->loop.lag();
@@ -244,24 +229,6 @@
         }
     }
 
-    void note_load(const std::uint32_t key, const std::uint32_t in_flight) {
-        this->loads.note(key, in_flight);
-        if (!std::exchange(this->load_told_soon, true)) {
-            this->loop.after(internal::load_period, [this] {
-                this->load_told_soon = false;
-                if (const auto changes = this->loads.take_changes()) {
-                    this->tell_named(*changes);
-                }
-            });
-        }
-    }
-
-    void tell_named(const std::string& bytes) {
-        for (const auto& ip : this->named) {
-            this->datagrams.send(this->peer_endpoint(ip), bytes);
-        }
-    }
-
     // Calls from outside
 
     [[nodiscard]] http_limits caller_bounds() const {
@@ -275,33 +242,10 @@
         return bounds;
     }
 
-    void answer_readiness(caller_exchange& exchange) {
-        const bool asked = this->platform.speech->asks_readiness(exchange.request());
-        exchange.answer(internal::text_reply(!asked ? 404 : this->ready() ? 200 : 503, ""));
-    }
-
-    void answer_lookup(caller_exchange& exchange) {
-        const auto query = this->platform.speech->read_address_query(exchange.request());
-        if (!query) {
-            exchange.answer(internal::text_reply(404, ""));
-            return;
-        }
-        std::vector<std::string> chosen{};
-        for (const auto& record : choose_instances(this->members.leaders(), query->region, query->zone)) {
-            chosen.push_back(record.identity.caller_endpoint);
-        }
-        if (chosen.empty()) {
-            exchange.answer(internal::text_reply(503, ""));
-            return;
-        }
-        exchange.answer(this->platform.speech->write_addresses(
-            chosen, std::min(internal::list_lifetime, this->configuration.longest_lifetime)));
-    }
-
     void answer_operator(caller_exchange& exchange) {
         const auto& path = exchange.request().path;
         if (path == "/metrics") {
-            auto reply = internal::text_reply(200, this->numbers.text());
+            auto reply = text_reply(200, this->numbers.text());
             reply.content_type = "text/plain; version=0.0.4";
             exchange.answer(reply);
         } else if (path == "/state") {
@@ -309,31 +253,10 @@
             reply.body = this->describe().dump();
             exchange.answer(reply);
         } else {
-            exchange.answer(internal::text_reply(404, "paths: /state /metrics\n"));
+            exchange.answer(text_reply(404, "paths: /state /metrics\n"));
         }
     }
 
-    void answer_peer(caller_exchange& exchange) {
-        http_reply reply{};
-        reply.content_type = "application/msgpack";
-        if (exchange.request().path == "/config" && this->follower.config().revision > 0U) {
-            reply.body = encode_config(this->follower.config());
-        } else if (exchange.request().path == "/targets" && this->follower.informed()) {
-            reply.body = encode_targets(this->follower.listed());
-        } else if (exchange.request().path == "/members") {
-            reply.body = this->encode_known();
-        } else {
-            reply.status = 404;
-        }
-        exchange.answer(reply);
-    }
-
-    [[nodiscard]] std::string encode_known() const {
-        auto known = this->members.members();
-        known.push_back({this->describe_self(), duration::zero()});
-        return encode_members(known);
-    }
-
     [[nodiscard]] nlohmann::json describe() const {
         auto leaders = nlohmann::json::array();
         for (const auto& record : this->members.leaders()) {
@@ -367,7 +290,7 @@
 
     /*! @brief Gives this instance its part of the budgets that all instances share. */
     void share_budgets() {
-        const auto sharing = std::max<std::size_t>(this->sending, 1U);
+        const auto sharing = this->loads.sharing();
         this->requests.configure(
             {this->configuration.repeat_ratio, this->configuration.repeat_slack, this->configuration.repeat_window},
             std::min(sharing, this->members.size()),
@@ -449,16 +372,10 @@
                                      {"callers", this->configuration.caller_endpoint},
                                      {"store", this->configuration.store_endpoint}});
         this->members.start();
+        this->loads.start();
         this->follower.start();
         this->loop.every(internal::signal_period, [this] { this->watch_signals(); });
-        this->loop.every(internal::full_load_period, [this] {
-            this->loads.expire(this->loop.now());
-            this->find_named();
-            this->measure();
-            if (this->requests.open() > 0U) {
-                this->tell_named(this->loads.all());
-            }
-        });
+        this->loop.every(internal::measure_period, [this] { this->measure(); });
         this->loop.every(internal::settings_period, [this] {
             this->reload();
             this->share_budgets();
--- a/src/mangopulley/gateway/gateway_settings.cpp
+++ b/src/mangopulley/gateway/gateway_settings.cpp
@@ -2,9 +2,7 @@
 
 #include <array>
 
-#include "../catalogue/document.hpp"
-#include "../core/endpoint.hpp"
-#include "../core/yaml_value.hpp"
+#include "../settings/field_readers.hpp"
 
 namespace mangopulley {
 
@@ -13,23 +11,9 @@
 namespace {
 
 constexpr yaml_limits gateway_yaml_limits{65'536U, 1'000U, 8U};
-constexpr std::uint64_t most_port = 65'535U;
 constexpr double longest_bound_s = 3'600.0;
 constexpr double most_slack = 1'000'000.0;
 constexpr std::size_t most_seeds = 64U;
-constexpr std::array<std::string_view, 5U> level_names{"trace", "debug", "info", "warn", "error"};
-
-template <std::string gateway_settings::*Member>
-[[nodiscard]] result<void> read_endpoint(const yaml_value& value, gateway_settings& target) {
-    BOOST_LEAF_ASSIGN(target.*Member, value.text(is_endpoint, endpoint_form));
-    return {};
-}
-
-template <std::string gateway_settings::*Member>
-[[nodiscard]] result<void> read_name(const yaml_value& value, gateway_settings& target) {
-    BOOST_LEAF_ASSIGN(target.*Member, value.text(is_identifier, identifier_form));
-    return {};
-}
 
 template <duration gateway_settings::*Member>
 [[nodiscard]] result<void> read_seconds(const yaml_value& value, gateway_settings& target) {
@@ -44,17 +28,12 @@
     return {};
 }
 
-[[nodiscard]] result<void> read_own_ip(const yaml_value& value, gateway_settings& target) {
-    BOOST_LEAF_ASSIGN(target.ip, value.text(is_ip_address, "an IPv4 address of one machine, such as 10.0.0.1"));
-    return {};
-}
-
 [[nodiscard]] result<void> read_gateway_instance(const yaml_value& value, gateway_settings& target) {
     static constexpr std::array<yaml_field<gateway_settings>, 6U> fields{
-        {{"name", true, read_name<&gateway_settings::instance_name>},
-         {"ip", true, read_own_ip},
-         {"zone", true, read_name<&gateway_settings::zone>},
-         {"region", true, read_name<&gateway_settings::region>},
+        {{"name", true, read_identifier<&gateway_settings::instance_name>},
+         {"ip", true, read_ip<&gateway_settings::ip>},
+         {"zone", true, read_identifier<&gateway_settings::zone>},
+         {"region", true, read_identifier<&gateway_settings::region>},
          {"cpu_share", false, read_real<&gateway_settings::cpu_share>},
          {"cpu_cores", false, read_real<&gateway_settings::cpu_cores>}}};
     return value.read_map(target, fields);
@@ -69,10 +48,6 @@
     return value.read_map(target, fields);
 }
 
-[[nodiscard]] result<void> read_peer_port(const yaml_value& value, gateway_settings& target) {
-    return value.read(target.peer_port, 1U, most_port);
-}
-
 [[nodiscard]] result<void> read_seeds(const yaml_value& value, gateway_settings& target) {
     BOOST_LEAF_AUTO(items, value.items(0U, most_seeds));
     for (const auto& item : items) {
@@ -84,13 +59,13 @@
 
 [[nodiscard]] result<void> read_peers(const yaml_value& value, gateway_settings& target) {
     static constexpr std::array<yaml_field<gateway_settings>, 2U> fields{
-        {{"port", true, read_peer_port}, {"seeds", true, read_seeds}}};
+        {{"port", true, read_port<&gateway_settings::peer_port>}, {"seeds", true, read_seeds}}};
     return value.read_map(target, fields);
 }
 
 [[nodiscard]] result<void> read_platform(const yaml_value& value, gateway_settings& target) {
     static constexpr std::array<yaml_field<gateway_settings>, 2U> fields{
-        {{"name", false, read_name<&gateway_settings::platform>},
+        {{"name", false, read_identifier<&gateway_settings::platform>},
          {"store", true, read_endpoint<&gateway_settings::store_endpoint>}}};
     return value.read_map(target, fields);
 }
@@ -106,14 +81,9 @@
     return value.read_map(target, fields);
 }
 
-[[nodiscard]] result<void> read_log_level(const yaml_value& value, gateway_settings& target) {
-    BOOST_LEAF_AUTO(index, value.choice(level_names));
-    target.log_level = level_names[index];
-    return {};
-}
-
 [[nodiscard]] result<void> read_logging(const yaml_value& value, gateway_settings& target) {
-    static constexpr std::array<yaml_field<gateway_settings>, 1U> fields{{{"level", false, read_log_level}}};
+    static constexpr std::array<yaml_field<gateway_settings>, 1U> fields{
+        {{"level", false, read_log_level<&gateway_settings::log_level>}}};
     return value.read_map(target, fields);
 }
 
--- a/src/mangopulley/gateway/rendezvous.hpp
+++ b/src/mangopulley/gateway/rendezvous.hpp
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "fnv_hash.hpp"
+
 namespace mangopulley {
 
 /**
@@ -13,18 +15,7 @@
  */
 [[nodiscard]] constexpr std::uint64_t rendezvous_rank(const std::string_view key,
                                                       const std::string_view member) noexcept {
-    std::uint64_t state = 14'695'981'039'346'656'037ULL;
-    const auto step = [&state](const unsigned char byte) {
-        state ^= byte;
-        state *= 1'099'511'628'211ULL;
-    };
-    for (const char letter : key) {
-        step(static_cast<unsigned char>(letter));
-    }
-    step(0U);
-    for (const char letter : member) {
-        step(static_cast<unsigned char>(letter));
-    }
+    std::uint64_t state = fnv_hash{}.add(key).add(member).value();
     // The last bytes of a name hardly reach the high bits without this mixing (splitmix64).
     state ^= state >> 30U;
     state *= 0xBF58476D1CE4E5B9ULL;
--- a/src/mangopulley/gateway/shared_load.cpp
+++ b/src/mangopulley/gateway/shared_load.cpp
@@ -102,6 +102,10 @@
     return writer.take();
 }
 
+bool shared_load::idle() const noexcept {
+    return this->self->own.empty();
+}
+
 std::string shared_load::all() const {
     message_writer writer{};
     writer.array(internal::load_fields).number(internal::load_format).boolean(true);
--- a/src/mangopulley/gateway/shared_load.hpp
+++ b/src/mangopulley/gateway/shared_load.hpp
@@ -34,6 +34,8 @@
     void note(std::uint32_t key, std::uint32_t in_flight);
     /*! @brief Returns a message with what changed since the last one, or nothing. */
     [[nodiscard]] std::optional<std::string> take_changes();
+    /*! @brief Tells whether this instance has no request in flight. */
+    [[nodiscard]] bool idle() const noexcept;
     /*! @brief Returns a message with all counts. */
     [[nodiscard]] std::string all() const;
     /*! @brief Takes in a message; returns false when the bytes are none. */
--- a/src/mangopulley/http/http_message.hpp
+++ b/src/mangopulley/http/http_message.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <Poco/Net/HTTPRequest.h>
@@ -42,6 +43,15 @@
     std::vector<header> headers{};
 };
 
+/*! @brief Makes a reply of plain text. */
+[[nodiscard]] inline http_reply text_reply(const int status, std::string text) {
+    http_reply reply{};
+    reply.status = status;
+    reply.content_type = "text/plain";
+    reply.body = std::move(text);
+    return reply;
+}
+
 /*! @brief Bounds of what one connection may cost. */
 struct http_limits {
     std::size_t longest_head{16'384U};
--- a/src/mangopulley/settings/settings.cpp
+++ b/src/mangopulley/settings/settings.cpp
@@ -6,21 +6,18 @@
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
 
-#include "../core/endpoint.hpp"
-#include "../core/yaml_value.hpp"
+#include "field_readers.hpp"
 
 namespace mangopulley {
 
 namespace internal {
 
 constexpr yaml_limits settings_limits{65'536U, 1'000U, 8U};
-constexpr std::uint64_t highest_port = 65'535U;
 // A shorter time fails on ordinary delays between zones; a longer one holds a lease renewal past its lease.
 constexpr std::uint64_t shortest_store_timeout = 10U;
 constexpr std::uint64_t longest_store_timeout = 10'000U;
 constexpr std::uint64_t most_workers = 4'096U;
 constexpr std::size_t most_endpoints = 16U;
-constexpr std::array<std::string_view, 5U> log_levels{"trace", "debug", "info", "warn", "error"};
 
 [[nodiscard]] bool is_alert_url(const std::string_view text) {
     constexpr std::size_t longest_url = 2'048U;
@@ -37,18 +34,6 @@
     }
 }
 
-/*! @brief Reads an identifier into the member given as template argument. */
-template <std::string settings::*Member>
-[[nodiscard]] result<void> read_identifier(const yaml_value& value, settings& target) {
-    BOOST_LEAF_ASSIGN(target.*Member, value.text(is_identifier, identifier_form));
-    return {};
-}
-
-template <std::uint16_t settings::*Member>
-[[nodiscard]] result<void> read_port(const yaml_value& value, settings& target) {
-    return value.read(target.*Member, 1U, highest_port);
-}
-
 [[nodiscard]] result<void> check_ports(const yaml_value& instance, const settings& target) {
     struct named_port {
         std::string_view key;
@@ -71,15 +56,10 @@
     return {};
 }
 
-[[nodiscard]] result<void> read_ip(const yaml_value& value, settings& target) {
-    BOOST_LEAF_ASSIGN(target.ip, value.text(is_ip_address, "an IPv4 address of one machine, such as 10.0.0.1"));
-    return {};
-}
-
 [[nodiscard]] result<void> read_instance(const yaml_value& value, settings& target) {
     static constexpr std::array<yaml_field<settings>, 7U> fields{{
         {"name", true, read_identifier<&settings::instance_name>},
-        {"ip", true, read_ip},
+        {"ip", true, read_ip<&settings::ip>},
         {"caller_port", true, read_port<&settings::caller_port>},
         {"operator_port", true, read_port<&settings::operator_port>},
         {"peer_port", true, read_port<&settings::peer_port>},
@@ -92,11 +72,6 @@
     return check_ports(value, target);
 }
 
-[[nodiscard]] result<void> read_store_address(const yaml_value& value, settings& target) {
-    BOOST_LEAF_ASSIGN(target.store_address, value.text(is_endpoint, endpoint_form));
-    return {};
-}
-
 [[nodiscard]] result<void> read_store_timeout(const yaml_value& value, settings& target) {
     BOOST_LEAF_AUTO(count, value.integer(shortest_store_timeout, longest_store_timeout));
     target.store_timeout = milliseconds{count};
@@ -105,7 +80,7 @@
 
 [[nodiscard]] result<void> read_store(const yaml_value& value, settings& target) {
     static constexpr std::array<yaml_field<settings>, 2U> fields{
-        {{"address", true, read_store_address}, {"timeout_ms", false, read_store_timeout}}};
+        {{"address", true, read_endpoint<&settings::store_address>}, {"timeout_ms", false, read_store_timeout}}};
     return value.read_map(target, fields);
 }
 
@@ -127,14 +102,9 @@
     return value.read_map(target, fields);
 }
 
-[[nodiscard]] result<void> read_level(const yaml_value& value, settings& target) {
-    BOOST_LEAF_AUTO(index, value.choice(log_levels));
-    target.log_level = log_levels[index];
-    return {};
-}
-
 [[nodiscard]] result<void> read_log(const yaml_value& value, settings& target) {
-    static constexpr std::array<yaml_field<settings>, 1U> fields{{{"level", false, read_level}}};
+    static constexpr std::array<yaml_field<settings>, 1U> fields{
+        {{"level", false, read_log_level<&settings::log_level>}}};
     return value.read_map(target, fields);
 }
 
