Number the reads of the platform, so that their age cannot shrink on the way

Every instance took its copy for younger than it was: a heartbeat tells the age of a read, the time on the way is missing from it, and the next instance tells it on. With loops 30 to 50 ms late and a heartbeat of some leader every 33 ms the age never reached 1.55 s.

Each read now has a number; the earliest time told for a number counts.

Ruled out: reads that failed (no platform_lost between 1 s and 9 s), stale lists (not used), a fetch from another instance that hung.

The new test of platform_follower fails without the earliest time.

--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -133,6 +133,7 @@
         return {this->loop,
                 *this->platform.store,
                 this->log,
+                this->incarnation,
                 [this] { return this->members.place_in_line(); },
                 [this] { return this->first_read_delay(); },
                 [this](const std::string& ip, const std::string& path, std::function<void(std::string &&)> done) {
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::uint64_t peer_format = 4U;
-constexpr std::uint32_t message_fields = 13U;
+constexpr std::uint64_t peer_format = 5U;
+constexpr std::uint32_t message_fields = 15U;
 constexpr std::uint32_t introduction_fields = 6U;
 constexpr std::uint32_t member_fields = 9U;
 constexpr std::uint32_t most_members = 16'384U;
@@ -51,9 +51,9 @@
     writer.array(internal::message_fields).number(internal::peer_format).number(record.incarnation);
     writer.boolean(record.ready).boolean(message.asks).number(message.members_digest);
     writer.boolean(record.strained).number(record.requests_per_second);
-    writer.number(record.config_revision);
+    writer.number(record.config_revision).number(record.config_read);
     internal::write_age(writer, record.config_age);
-    writer.number(record.targets_revision).number(record.targets_digest);
+    writer.number(record.targets_revision).number(record.targets_digest).number(record.targets_read);
     internal::write_age(writer, record.targets_age);
     writer.array(message.introduces ? internal::introduction_fields : 0U);
     if (message.introduces) {
@@ -77,9 +77,11 @@
     record.strained = reader.boolean();
     record.requests_per_second = static_cast<std::uint32_t>(reader.number());
     record.config_revision = reader.number();
+    record.config_read = static_cast<std::uint32_t>(reader.number());
     record.config_age = internal::read_age(reader);
     record.targets_revision = reader.number();
     record.targets_digest = reader.number();
+    record.targets_read = static_cast<std::uint32_t>(reader.number());
     record.targets_age = internal::read_age(reader);
     message.introduces = reader.array(internal::introduction_fields) == internal::introduction_fields;
     if (message.introduces) {
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -33,10 +33,14 @@
     /*! @brief Requests of callers in a second, smoothed. */
     std::uint32_t requests_per_second{};
     std::uint64_t config_revision{};
+    /*! @brief Number of the read behind `config_age`, so that receivers know it when they hear of it again. */
+    std::uint32_t config_read{};
     /*! @brief Age of the instance's knowledge that its configuration is the newest. */
     duration config_age{};
     std::uint64_t targets_revision{};
     std::uint64_t targets_digest{};
+    /*! @brief Number of the read behind `targets_age`. */
+    std::uint32_t targets_read{};
     /*! @brief Age of the instance's list of targets. */
     duration targets_age{};
 };
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "document_codec.hpp"
+#include "fnv_hash.hpp"
+#include "read_times.hpp"
 
 namespace mangopulley {
 
@@ -20,15 +22,33 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(age).count());
 }
 
+/*! @brief Read of a document, by this instance or another one. */
+struct source_read {
+    time_point as_of{};
+    std::uint32_t number{};
+};
+
 /*! @brief State of reading one kind of document. */
 struct reading {
     std::optional<time_point> as_of{};
+    /*! @brief Number of the read to which `as_of` belongs. */
+    std::uint32_t read{};
+    /*! @brief Reads that others told of. */
+    read_times told{};
     bool under_way{};
     bool fetching{};
     bool lost{};
     time_point pause_until{};
 
     [[nodiscard]] duration age(const time_point now) const noexcept { return this->as_of ? now - *this->as_of : never; }
+
+    /*! @brief Takes over a read unless a newer one is known; a better time of the same one replaces the old time. */
+    void confirm(const source_read& made) noexcept {
+        if (!this->as_of || made.as_of > *this->as_of || made.number == this->read) {
+            this->as_of = made.as_of;
+            this->read = made.number;
+        }
+    }
 };
 
 } // namespace
@@ -45,6 +65,7 @@
     internal::reading configs{};
     /*! @brief Targets missing since an outage, with the time until which they are still used. */
     std::vector<std::pair<listed_target, time_point>> missing{};
+    std::uint64_t reads{};
     time_point started{};
     timer_id timer{};
 
@@ -76,8 +97,14 @@
         return !state.under_way && time >= state.pause_until && state.age(time) >= allowed;
     }
 
+    /*! @brief Numbers a read so that no other instance is likely to use the number at the same time. */
+    [[nodiscard]] internal::source_read begin_read() {
+        const auto number = fnv_hash{}.add(this->environment.incarnation).add(++this->reads).value();
+        return {this->now(), static_cast<std::uint32_t>(number)};
+    }
+
     void read_targets() {
-        const auto begun = this->now();
+        const auto begun = this->begin_read();
         this->targets.under_way = true;
         this->environment.platform.read_targets(
             this->rule.call_timeout, [this, begun](platform_result<target_list>&& answer) {
@@ -93,7 +120,7 @@
     }
 
     void read_config() {
-        const auto begun = this->now();
+        const auto begun = this->begin_read();
         this->configs.under_way = true;
         this->environment.platform.read_config(
             this->rule.call_timeout, [this, begun](platform_result<routing_config>&& answer) {
@@ -125,9 +152,9 @@
         }
     }
 
-    void take_config(routing_config&& found, const time_point as_of, const std::string& from) {
+    void take_config(routing_config&& found, const internal::source_read& made, const std::string& from) {
         if (found.revision >= this->config.revision) {
-            this->configs.as_of = std::max(this->configs.as_of.value_or(as_of), as_of);
+            this->configs.confirm(made);
         }
         if (found.revision <= this->config.revision) {
             return;
@@ -137,12 +164,13 @@
                                                         {"previous", std::to_string(this->config.version)},
                                                         {"routes", std::to_string(found.routes.size())},
                                                         {"from", from},
-                                                        {"age_ms", internal::age_text(this->now() - as_of)}});
+                                                        {"age_ms", internal::age_text(this->now() - made.as_of)}});
         this->config = std::move(found);
         this->environment.config_changed(this->config);
     }
 
-    void take_targets(target_list&& found, const time_point as_of, const std::string& from) {
+    void take_targets(target_list&& found, const internal::source_read& made, const std::string& from) {
+        const auto as_of = made.as_of;
         if (this->targets.as_of && (as_of < *this->targets.as_of || found.revision < this->listed.revision)) {
             return;
         }
@@ -154,6 +182,7 @@
             this->keep_missing(found, time + this->rule.return_grace);
         }
         this->targets.as_of = as_of;
+        this->targets.read = made.number;
         this->listed = std::move(found);
         this->digest = next;
         if (changed || after_outage) {
@@ -215,41 +244,52 @@
     }
 
     void hear_config(const std::string& ip, const peer_record& record, const time_point time) {
-        const auto as_of = time - record.config_age;
-        if (record.config_revision == 0U || this->configs.fetching) {
+        if (record.config_revision == 0U) {
             return;
         }
+        const internal::source_read made{
+            this->configs.told.earliest(record.config_read, time - record.config_age, time), record.config_read};
         if (record.config_revision == this->config.revision) {
-            this->configs.as_of = std::max(this->configs.as_of.value_or(as_of), as_of);
-        } else if (record.config_revision > this->config.revision) {
+            this->configs.confirm(made);
+        } else if (record.config_revision > this->config.revision && !this->configs.fetching) {
             this->configs.fetching = true;
-            this->environment.fetch(ip, "/config", [this, as_of, ip](std::string&& bytes) {
+            this->environment.fetch(ip, "/config", [this, made, ip](std::string&& bytes) {
                 this->configs.fetching = false;
                 if (auto found = decode_config(bytes)) {
-                    this->take_config(std::move(*found), as_of, ip);
+                    this->take_config(std::move(*found), made, ip);
                 }
             });
         }
     }
 
     void hear_targets(const std::string& ip, const peer_record& record, const time_point time) {
-        const auto as_of = time - record.targets_age;
-        if (record.targets_revision == 0U || this->targets.fetching ||
-            (this->targets.as_of && as_of <= *this->targets.as_of)) {
+        if (record.targets_revision == 0U) {
+            return;
+        }
+        const internal::source_read made{
+            this->targets.told.earliest(record.targets_read, time - record.targets_age, time), record.targets_read};
+        const auto as_of = made.as_of;
+        if (this->targets.as_of && as_of <= *this->targets.as_of) {
+            if (made.number == this->targets.read) {
+                this->targets.confirm(made);
+            }
             return;
         }
         const bool known = this->targets.as_of && record.targets_digest == this->digest;
         const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
         if (known && !after_outage) {
-            this->targets.as_of = as_of;
+            this->targets.confirm(made);
             this->listed.revision = std::max(this->listed.revision, record.targets_revision);
             return;
         }
+        if (this->targets.fetching) {
+            return;
+        }
         this->targets.fetching = true;
-        this->environment.fetch(ip, "/targets", [this, as_of, ip](std::string&& bytes) {
+        this->environment.fetch(ip, "/targets", [this, made, ip](std::string&& bytes) {
             this->targets.fetching = false;
             if (auto found = decode_targets(bytes)) {
-                this->take_targets(std::move(*found), as_of, ip);
+                this->take_targets(std::move(*found), made, ip);
             }
         });
     }
@@ -275,9 +315,11 @@
 void platform_follower::describe(peer_record& record) const {
     const auto& state = *this->self;
     record.config_revision = state.config.revision;
+    record.config_read = state.configs.read;
     record.config_age = this->config_age();
     record.targets_revision = state.targets.as_of ? state.listed.revision : 0U;
     record.targets_digest = state.digest;
+    record.targets_read = state.targets.read;
     record.targets_age = this->targets_age();
 }
 
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -45,6 +45,7 @@
         event_loop& loop;
         platform_client& platform;
         decision_log& log;
+        std::uint64_t incarnation{};
         /*! @brief Returns the place of this instance in the line of readers, from 0. */
         std::function<std::size_t()> place{};
         /*! @brief Returns how long a new instance waits for another one to tell it what it would read. */
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -97,7 +97,7 @@
         for (std::size_t index = 0U; index < count; ++index) {
             auto& item = this->instances[index];
             item.client = std::make_unique<fake_platform_client>(this->loop, this->platform);
-            platform_follower::parts parts{this->loop, *item.client, this->log};
+            platform_follower::parts parts{this->loop, *item.client, this->log, index + 1U};
             parts.place = [index] { return index; };
             parts.first_read_delay = [index] { return index == 0U ? duration::zero() : duration{seconds{1}}; };
             parts.fetch = [this, index](const std::string& ip, const std::string& path,
@@ -125,6 +125,17 @@
         this->loop.every(milliseconds{400}, [this] { this->announce(0U); });
     }
 
+    /*! @brief Lets every instance send heartbeats, one after the other, which arrive late. */
+    void announce_late(const duration delay) {
+        this->heartbeat_delay = delay;
+        const duration step = milliseconds{400} / static_cast<int>(this->instances.size());
+        for (std::size_t index = 0U; index < this->instances.size(); ++index) {
+            this->loop.after(step * static_cast<int>(index), [this, index] {
+                this->loop.every(milliseconds{400}, [this, index] { this->announce(index); });
+            });
+        }
+    }
+
     void pass(const duration length) {
         for (duration done{}; done < length; done += milliseconds{5}) {
             this->time.advance(milliseconds{5});
@@ -139,16 +150,29 @@
     std::vector<instance> instances;
 
 private:
+    duration heartbeat_delay{};
+
     void announce(const std::size_t from) {
         peer_record record{};
         this->instances[from].follower->describe(record);
         for (std::size_t to = 0U; to < this->instances.size(); ++to) {
             if (to != from && !this->instances[from].cut && !this->instances[to].cut) {
-                this->instances[to].follower->hear(std::to_string(from), record);
+                this->deliver(from, to, record);
             }
         }
     }
 
+    void deliver(const std::size_t from, const std::size_t to, const peer_record& record) {
+        const auto hear = [this, from, to, record] {
+            this->instances[to].follower->hear(std::to_string(from), record);
+        };
+        if (this->heartbeat_delay == duration::zero()) {
+            hear();
+        } else {
+            this->loop.after(this->heartbeat_delay, hear);
+        }
+    }
+
     void fetch(const std::size_t to, const std::size_t from, const std::string& path,
                std::function<void(std::string&&)> done) {
         this->loop.after(milliseconds{5}, [this, to, from, path, done = std::move(done)] {
@@ -195,6 +219,23 @@
     }
 }
 
+// Guards against ages that shrink on the way: when each hop takes longer than a heartbeat's turn among the instances,
+// an age told on and on would never reach the one at which anybody reads.
+TEST(platform_follower, has_changes_in_force_within_two_seconds_when_heartbeats_are_late) {
+    begin();
+    group.announce_late(milliseconds{60});
+    group.pass(seconds{5});
+    for (std::uint64_t version = 2U; version < 8U; ++version) {
+        group.platform.change_targets({"t1", "t2"}, version % 2U == 0U ? "t1" : "t2");
+        group.platform.change_config(version);
+        group.pass(milliseconds{2'000});
+        CHECK_TRUE(all_use({version % 2U == 0U ? "t2" : "t1"}));
+        for (const auto& item : group.instances) {
+            LONGS_EQUAL(version, item.version);
+        }
+    }
+}
+
 // Guards against work for a leaving target, and against an old configuration, later than 2 s after the platform knew.
 TEST(platform_follower, has_changes_in_force_everywhere_within_two_seconds) {
     begin();
