Tell callers of strong and weak instances apart, and bound the messages of load

Callers share their requests evenly among the addresses they are told, so the number was set by what the weakest (a tenth of a core) can take, and a strained strong instance (half a core) was put behind all weak ones. With 57 named each could probe a target once in two seconds, told 56 others its counts every 4 ms, and sent blindly: readings over 0.7 s old, 0.2 to 1.2 s at targets that take 0.13 s.

Instances of equal strength now form a group; each look-up answers one group, drawn by strength, and as many are named as take the zone's requests. A strained instance counts a quarter. Messages of load are bounded to 1,000 a second, other zones hear every 25 ms, and the probe budget is shared by strength.

--- a/src/mangopulley/gateway/directory_service.cpp
+++ b/src/mangopulley/gateway/directory_service.cpp
@@ -1,6 +1,7 @@
 #include "directory_service.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -8,22 +9,34 @@
 
 namespace mangopulley {
 
+namespace internal {
+
+namespace {
+
+// Multiples of the golden ratio spread more evenly over 0 to 1 than random numbers.
+constexpr double golden_ratio = 0.6180339887498949;
+
+} // namespace
+
+} // namespace internal
+
 directory_service::directory_service(parts used, const directory_rule& bounds)
-    : environment{std::move(used)}, rule{bounds} {}
+    : environment{std::move(used)}, rule{bounds}, draw{this->environment.first_draw} {}
 
 void directory_service::answer_readiness(caller_exchange& exchange) const {
     const bool asked = this->environment.speech.asks_readiness(exchange.request());
     exchange.answer(text_reply(!asked ? 404 : this->environment.ready() ? 200 : 503, ""));
 }
 
-void directory_service::answer_query(caller_exchange& exchange) const {
+void directory_service::answer_query(caller_exchange& exchange) {
     const auto query = this->environment.speech.read_address_query(exchange.request());
     if (!query) {
         exchange.answer(text_reply(404, ""));
         return;
     }
+    this->draw = std::fmod(this->draw + internal::golden_ratio, 1.0);
     std::vector<std::string> chosen{};
-    for (const auto& record : choose_instances(this->environment.leaders(), query->region, query->zone)) {
+    for (const auto& record : choose_instances(this->environment.leaders(), query->region, query->zone, this->draw)) {
         chosen.push_back(record.identity.caller_endpoint);
     }
     if (chosen.empty()) {
--- a/src/mangopulley/gateway/directory_service.hpp
+++ b/src/mangopulley/gateway/directory_service.hpp
@@ -31,17 +31,20 @@
         std::function<std::vector<peer_record>()> leaders{};
         /*! @brief Returns the longest lifetime that the platform accepts. */
         std::function<duration()> longest_lifetime{};
+        /*! @brief From 0 to below 1, different for each instance, so that not all tell their callers the same first. */
+        double first_draw{};
     };
 
     directory_service(parts used, const directory_rule& bounds);
 
     void answer_readiness(caller_exchange& exchange) const;
     /*! @brief Answers 200 with addresses, 404 to another question, 503 while no instance is known to be ready. */
-    void answer_query(caller_exchange& exchange) const;
+    void answer_query(caller_exchange& exchange);
 
 private:
     parts environment;
     directory_rule rule;
+    double draw;
 };
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/fleet.cpp
+++ b/src/mangopulley/gateway/fleet.cpp
@@ -34,19 +34,32 @@
     bool introduced{};
 };
 
+/*! @brief Returns the requests in a second that an instance can take; one short of processor time gets a quarter. */
+[[nodiscard]] double bearable(const peer_record& record) noexcept {
+    constexpr double strained_part = 0.25;
+    return record.identity.millicores * requests_per_millicore * (record.strained ? strained_part : 1.0);
+}
+
 /*! @brief Orders the instances of a zone: the strongest lead, and equal ones by a hash that favours no rack. */
 [[nodiscard]] bool leads_before(const peer_record& left, const peer_record& right) {
-    if (left.strained != right.strained) {
-        return right.strained;
-    }
-    if (left.identity.millicores != right.identity.millicores) {
-        return left.identity.millicores > right.identity.millicores;
+    const auto left_strength = bearable(left);
+    const auto right_strength = bearable(right);
+    if (left_strength != right_strength) {
+        return left_strength > right_strength;
     }
     const auto left_rank = rendezvous_rank("leader", left.identity.name);
     const auto right_rank = rendezvous_rank("leader", right.identity.name);
     return left_rank != right_rank ? left_rank > right_rank : left.identity.name < right.identity.name;
 }
 
+[[nodiscard]] std::size_t count_named(const std::span<const peer_record> zone) {
+    std::size_t count = 0U;
+    for (const auto& group : name_instances(zone)) {
+        count += group.instances.size();
+    }
+    return count;
+}
+
 } // namespace
 
 } // namespace internal
@@ -87,7 +100,7 @@
         for (auto& [zone, records] : by_zone) {
             std::sort(records.begin(), records.end(), internal::leads_before);
             // One more than are named, so that the next one is known to live.
-            const auto wanted = std::max(named_count(records) + 1U, this->rule.leaders_per_zone);
+            const auto wanted = std::max(internal::count_named(records) + 1U, this->rule.leaders_per_zone);
             const auto count = std::min(records.size(), wanted);
             chosen.insert(chosen.end(), records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count));
         }
@@ -307,32 +320,37 @@
     return static_cast<std::size_t>(place - all.rbegin());
 }
 
-std::size_t named_count(const std::span<const peer_record> zone) {
+std::vector<naming_group> name_instances(const std::span<const peer_record> zone) {
     constexpr std::size_t usual_count = 2U;
-    if (zone.empty()) {
-        return 0U;
-    }
     double demand = 0.0;
     for (const auto& record : zone) {
         demand += record.requests_per_second;
     }
-    const auto bearable = [](const peer_record& record) {
-        return record.identity.millicores * internal::requests_per_millicore;
-    };
-    const bool strong_alone = zone.size() > 1U && !zone.front().strained &&
-                              zone[1U].identity.millicores * 2U < zone.front().identity.millicores;
-    if (strong_alone && demand <= bearable(zone.front())) {
-        return 1U;
-    }
-    std::size_t count = std::min(usual_count, zone.size());
-    while (count < zone.size() && demand / static_cast<double>(count) > bearable(zone[count - 1U])) {
+    std::vector<naming_group> groups{};
+    double strength = 0.0;
+    std::size_t count = 0U;
+    for (const auto& record : zone) {
+        const auto own = internal::bearable(record);
+        const bool starts_group = groups.empty() || internal::bearable(groups.back().instances.front()) != own;
+        // A much stronger instance serves alone; others are told in pairs, so that a caller has a second address.
+        const bool alone_suffices = count == 1U && 2.0 * own < strength;
+        const bool needs_second = !starts_group && groups.back().instances.size() < usual_count;
+        if (strength >= demand && (count >= usual_count || alone_suffices) && !needs_second) {
+            break;
+        }
+        if (starts_group) {
+            groups.emplace_back();
+        }
+        groups.back().instances.push_back(record);
+        groups.back().strength += own;
+        strength += own;
         ++count;
     }
-    return count;
+    return groups;
 }
 
 std::vector<peer_record> choose_instances(const std::span<const peer_record> leaders, const std::string_view region,
-                                          const std::string_view zone) {
+                                          const std::string_view zone, const double draw) {
     const auto distance = [&](const peer_record& record) {
         return record.identity.zone == zone ? 0 : record.identity.region == region ? 1 : 2;
     };
@@ -348,8 +366,19 @@
             candidates.push_back(record);
         }
     }
-    candidates.resize(named_count(candidates));
-    return candidates;
+    auto groups = name_instances(candidates);
+    double left = 0.0;
+    for (const auto& group : groups) {
+        left += group.strength;
+    }
+    left *= draw;
+    for (auto& group : groups) {
+        left -= group.strength;
+        if (left < 0.0) {
+            return std::move(group.instances);
+        }
+    }
+    return groups.empty() ? std::vector<peer_record>{} : std::move(groups.front().instances);
 }
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/fleet.hpp
+++ b/src/mangopulley/gateway/fleet.hpp
@@ -83,17 +83,24 @@
     std::unique_ptr<implementation> self;
 };
 
+/*! @brief Instances of equal strength that callers are told together. */
+struct naming_group {
+    std::vector<peer_record> instances{};
+    /*! @brief Requests in a second that the group can take. */
+    double strength{};
+};
+
 /**
- * @brief Returns how many of the best instances of a zone callers are told.
+ * @brief Returns the instances of a zone that callers are told.
  *
- * Callers share their requests evenly among the addresses they are told. Two are told, so that few instances know the
- * targets from their own requests; more when the weakest of them could not bear its share, and only one when all
- * others are much weaker.
+ * Two are told, so that few instances know the targets from their own requests, or one when all others are much
+ * weaker, and more when those cannot take the zone's requests. Callers share their requests evenly among the addresses
+ * they are told, so that instances of different strength are told to different callers.
  *
  * @param zone Ready instances of one zone, best first.
- * @return Number of instances, 0 only for none.
+ * @return Groups, the strongest first; none only when the zone is empty.
  */
-[[nodiscard]] std::size_t named_count(std::span<const peer_record> zone);
+[[nodiscard]] std::vector<naming_group> name_instances(std::span<const peer_record> zone);
 
 /**
  * @brief Chooses the addresses that a caller is told.
@@ -103,9 +110,10 @@
  * @param leaders Instances that callers may use, best first in each zone.
  * @param region Region of the caller.
  * @param zone Zone of the caller.
- * @return Instances, at least one unless `leaders` is empty.
+ * @param draw Number from 0 to below 1, spread evenly over calls; it decides among the groups by their strength.
+ * @return Instances of one group, at least one unless `leaders` is empty.
  */
 [[nodiscard]] std::vector<peer_record> choose_instances(std::span<const peer_record> leaders, std::string_view region,
-                                                        std::string_view zone);
+                                                        std::string_view zone, double draw);
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -94,7 +94,7 @@
                             }};
     fleet members{this->loop, fleet_rule{}, this->fleet_outlets(), [this] { return this->describe_self(); },
                   [this](const std::string& ip, const peer_record& record) { this->follower.hear(ip, record); }};
-    load_sharing loads{this->loop, load_sharing_rule{}, this->configuration.ip, this->load_outlets()};
+    load_sharing loads{this->loop, load_sharing_rule{}, this->identity, this->load_outlets()};
     platform_follower follower{this->follower_parts(), follower_rule{}};
     directory_service addresses{this->directory_parts(), directory_rule{}};
     peer_service documents_told{this->follower, [this] { return this->known_instances(); }};
@@ -203,7 +203,12 @@
 
     [[nodiscard]] directory_service::parts directory_parts() {
         return {*this->platform.speech, [this] { return this->ready(); }, [this] { return this->members.leaders(); },
-                [this] { return this->configuration.longest_lifetime; }};
+                [this] { return this->configuration.longest_lifetime; }, this->first_draw()};
+    }
+
+    [[nodiscard]] double first_draw() const noexcept {
+        constexpr std::uint64_t steps = 1'024U;
+        return static_cast<double>(this->incarnation % steps) / static_cast<double>(steps);
     }
 
     [[nodiscard]] std::vector<known_instance> known_instances() const {
@@ -291,11 +296,10 @@
 
     /*! @brief Gives this instance its part of the budgets that all instances share. */
     void share_budgets() {
-        const auto sharing = this->loads.sharing();
         this->requests.configure(
             {this->configuration.repeat_ratio, this->configuration.repeat_slack, this->configuration.repeat_window},
-            std::min(sharing, this->members.size()),
-            this->configuration.probes_per_target * internal::usable_part_of_probes / static_cast<double>(sharing));
+            std::min(this->loads.sharing(), this->members.size()),
+            this->configuration.probes_per_target * internal::usable_part_of_probes * this->loads.own_part());
     }
 
     void reload() {
--- a/src/mangopulley/gateway/load_sharing.cpp
+++ b/src/mangopulley/gateway/load_sharing.cpp
@@ -9,24 +9,41 @@
 
 namespace mangopulley {
 
+namespace internal {
+
+namespace {
+
+/*! @brief Instances that are sent changed counts together. */
+struct receivers {
+    shared_load::audience who;
+    duration period;
+    std::vector<std::string> ips{};
+    timer_id timer{};
+};
+
+} // namespace
+
+} // namespace internal
+
 struct load_sharing::implementation {
     event_loop& loop;
     load_sharing_rule rule;
-    std::string ip;
+    instance_identity own;
     outlets ways;
     shared_load loads{
         [this](const std::uint32_t key, const std::uint32_t foreign) { this->ways.foreign_changed(key, foreign); }};
-    /*! @brief Other instances that callers are told. */
-    std::vector<std::string> named{};
+    internal::receivers near{shared_load::audience::own_zone, this->rule.change_period};
+    internal::receivers far{shared_load::audience::other_zones, this->rule.other_zones_period};
     std::size_t named_in_all{1U};
-    timer_id change_timer{};
+    double part{1.0};
     timer_id full_timer{};
 
-    implementation(event_loop& used, const load_sharing_rule& bounds, std::string own_ip, outlets out)
-        : loop{used}, rule{bounds}, ip{std::move(own_ip)}, ways{std::move(out)} {}
+    implementation(event_loop& used, const load_sharing_rule& bounds, instance_identity self, outlets out)
+        : loop{used}, rule{bounds}, own{std::move(self)}, ways{std::move(out)} {}
 
     ~implementation() {
-        this->loop.cancel(this->change_timer);
+        this->loop.cancel(this->near.timer);
+        this->loop.cancel(this->far.timer);
         this->loop.cancel(this->full_timer);
     }
 
@@ -35,28 +52,31 @@
         for (auto& record : this->ways.leaders()) {
             zones[record.identity.zone].push_back(std::move(record));
         }
-        this->named.clear();
+        this->near.ips.clear();
+        this->far.ips.clear();
         this->named_in_all = 0U;
+        double total = 0.0;
+        double own_strength = 0.0;
         for (const auto& [zone, records] : zones) {
-            const auto count = named_count(records);
-            this->named_in_all += count;
-            for (std::size_t index = 0U; index < count; ++index) {
-                if (records[index].identity.ip != this->ip) {
-                    this->named.push_back(records[index].identity.ip);
+            for (const auto& group : name_instances(records)) {
+                total += group.strength;
+                this->named_in_all += group.instances.size();
+                for (const auto& record : group.instances) {
+                    if (record.identity.ip == this->own.ip) {
+                        own_strength = group.strength / static_cast<double>(group.instances.size());
+                    } else {
+                        (zone == this->own.zone ? this->near : this->far).ips.push_back(record.identity.ip);
+                    }
                 }
             }
         }
+        const auto equal_part = 1.0 / static_cast<double>(std::max<std::size_t>(this->named_in_all, 1U));
+        this->part = own_strength > 0.0 ? own_strength / total : equal_part;
     }
 
-    void tell(const std::string& bytes) const {
-        for (const auto& other : this->named) {
-            this->ways.send(other, bytes);
-        }
-    }
-
-    void tell_changes() {
-        if (const auto changes = this->loads.take_changes()) {
-            this->tell(*changes);
+    void tell(const internal::receivers& listeners, const std::string& bytes) const {
+        for (const auto& ip : listeners.ips) {
+            this->ways.send(ip, bytes);
         }
     }
 
@@ -64,13 +84,30 @@
         this->loads.expire(this->loop.now());
         this->find_named();
         if (!this->loads.idle()) {
-            this->tell(this->loads.all());
+            const auto counts = this->loads.all();
+            this->tell(this->near, counts);
+            this->tell(this->far, counts);
         }
     }
+
+    void tell_soon(internal::receivers& listeners) {
+        if (listeners.timer != 0U) {
+            return;
+        }
+        const auto all = static_cast<double>(this->near.ips.size() + this->far.ips.size());
+        const std::chrono::duration<double> spaced{all / this->rule.most_messages_per_second};
+        const auto wait = std::max(listeners.period, std::chrono::duration_cast<duration>(spaced));
+        listeners.timer = this->loop.after(wait, [this, &listeners] {
+            listeners.timer = 0U;
+            if (const auto changes = this->loads.take_changes(listeners.who)) {
+                this->tell(listeners, *changes);
+            }
+        });
+    }
 };
 
-load_sharing::load_sharing(event_loop& loop, const load_sharing_rule& bounds, std::string own_ip, outlets ways)
-    : self{std::make_unique<implementation>(loop, bounds, std::move(own_ip), std::move(ways))} {}
+load_sharing::load_sharing(event_loop& loop, const load_sharing_rule& bounds, instance_identity own, outlets ways)
+    : self{std::make_unique<implementation>(loop, bounds, std::move(own), std::move(ways))} {}
 
 load_sharing::~load_sharing() = default;
 
@@ -82,12 +119,8 @@
 void load_sharing::note(const std::uint32_t key, const std::uint32_t in_flight) {
     auto& state = *this->self;
     state.loads.note(key, in_flight);
-    if (state.change_timer == 0U) {
-        state.change_timer = state.loop.after(state.rule.change_period, [&state] {
-            state.change_timer = 0U;
-            state.tell_changes();
-        });
-    }
+    state.tell_soon(state.near);
+    state.tell_soon(state.far);
 }
 
 bool load_sharing::receive(const std::string_view ip, const std::string_view bytes) {
@@ -98,4 +131,8 @@
     return std::max<std::size_t>(this->self->named_in_all, 1U);
 }
 
+double load_sharing::own_part() const noexcept {
+    return this->self->part;
+}
+
 } // namespace mangopulley
--- a/src/mangopulley/gateway/load_sharing.hpp
+++ b/src/mangopulley/gateway/load_sharing.hpp
@@ -15,8 +15,13 @@
 
 /*! @brief Constants of the exchange of loads. */
 struct load_sharing_rule {
-    /*! @brief Changed counts are sent at this period; a target's answer takes many times longer. */
+    /*! @brief Changed counts are sent within the zone at this period; a target's answer takes many times longer. */
     duration change_period{std::chrono::milliseconds{4}};
+    /*! @brief Period for other zones, whose targets are used only when the own ones are busy: their bytes are priced.
+     */
+    duration other_zones_period{std::chrono::milliseconds{25}};
+    /*! @brief Messages in a second that an instance sends; with more receivers the periods get longer. */
+    double most_messages_per_second{1'000.0};
     /*! @brief All counts are sent at this period, which makes up for lost datagrams. */
     duration full_period{std::chrono::milliseconds{250}};
 };
@@ -40,10 +45,10 @@
      * @brief Prepares the exchange; nothing is sent before `start`.
      * @param loop Loop, which must outlive this object.
      * @param bounds Constants.
-     * @param own_ip Address of this instance, which sends itself nothing.
+     * @param own Identity of this instance, which sends itself nothing.
      * @param ways Ways out.
      */
-    load_sharing(event_loop& loop, const load_sharing_rule& bounds, std::string own_ip, outlets ways);
+    load_sharing(event_loop& loop, const load_sharing_rule& bounds, instance_identity own, outlets ways);
     load_sharing(const load_sharing&) = delete;
     load_sharing& operator=(const load_sharing&) = delete;
     ~load_sharing();
@@ -55,6 +60,8 @@
     [[nodiscard]] bool receive(std::string_view ip, std::string_view bytes);
     /*! @brief Returns how many instances callers are told in all zones, which so share the targets; at least 1. */
     [[nodiscard]] std::size_t sharing() const noexcept;
+    /*! @brief Returns the part of the requests of all zones that this instance can take among those named, 0 to 1. */
+    [[nodiscard]] double own_part() const noexcept;
 
 private:
     struct implementation;
--- a/src/mangopulley/gateway/shared_load.cpp
+++ b/src/mangopulley/gateway/shared_load.cpp
@@ -1,5 +1,6 @@
 #include "shared_load.hpp"
 
+#include <array>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -34,7 +35,8 @@
 struct shared_load::implementation {
     listener action;
     std::unordered_map<std::uint32_t, std::uint32_t> own{};
-    std::set<std::uint32_t> changed{};
+    /*! @brief Keys that changed, for each audience. */
+    std::array<std::set<std::uint32_t>, 2U> changed{};
     std::map<std::string, internal::sender_counts, std::less<>> senders{};
     std::unordered_map<std::uint32_t, std::uint32_t> totals{};
 
@@ -79,7 +81,9 @@
 }
 
 void shared_load::note(const std::uint32_t key, const std::uint32_t in_flight) {
-    this->self->changed.insert(key);
+    for (auto& keys : this->self->changed) {
+        keys.insert(key);
+    }
     if (in_flight == 0U) {
         this->self->own.erase(key);
     } else {
@@ -87,8 +91,8 @@
     }
 }
 
-std::optional<std::string> shared_load::take_changes() {
-    const auto changed = std::exchange(this->self->changed, {});
+std::optional<std::string> shared_load::take_changes(const audience receivers) {
+    const auto changed = std::exchange(this->self->changed.at(static_cast<std::size_t>(receivers)), {});
     if (changed.empty()) {
         return std::nullopt;
     }
--- a/src/mangopulley/gateway/shared_load.hpp
+++ b/src/mangopulley/gateway/shared_load.hpp
@@ -19,6 +19,8 @@
  */
 class shared_load {
 public:
+    /*! @brief Receivers that are sent changes at a pace of their own. */
+    enum class audience : std::uint8_t { own_zone, other_zones };
     /*! @brief Called with a target's key and what the others have in flight there, whenever that changes. */
     using listener = std::function<void(std::uint32_t key, std::uint32_t foreign)>;
 
@@ -32,8 +34,8 @@
 
     /*! @brief Notes how many requests of this instance are in flight at a target. */
     void note(std::uint32_t key, std::uint32_t in_flight);
-    /*! @brief Returns a message with what changed since the last one, or nothing. */
-    [[nodiscard]] std::optional<std::string> take_changes();
+    /*! @brief Returns a message with what changed since the last one for these receivers, or nothing. */
+    [[nodiscard]] std::optional<std::string> take_changes(audience receivers);
     /*! @brief Tells whether this instance has no request in flight. */
     [[nodiscard]] bool idle() const noexcept;
     /*! @brief Returns a message with all counts. */
--- a/test/mangopulley/gateway/fleet.cpp
+++ b/test/mangopulley/gateway/fleet.cpp
@@ -17,7 +17,7 @@
 using mangopulley::fleet;
 using mangopulley::fleet_rule;
 using mangopulley::known_instance;
-using mangopulley::named_count;
+using mangopulley::name_instances;
 using mangopulley::peer_record;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -254,6 +254,14 @@
 static std::vector<std::string> names(const std::vector<peer_record>& records) {
     return fleet_network::names(records);
 }
+
+static std::size_t count_named(const std::vector<peer_record>& zone) {
+    std::size_t count = 0U;
+    for (const auto& group : name_instances(zone)) {
+        count += group.instances.size();
+    }
+    return count;
+}
 }
 ;
 
@@ -261,27 +269,55 @@
 TEST(choose_instances, names_the_nearest_leaders) {
     const std::vector<peer_record> leaders{make("a1", "za"), make("a2", "za"), make("a3", "za"), make("b1", "zb"),
                                            make("c1", "zc")};
-    CHECK_TRUE((names(choose_instances(leaders, "r1", "za")) == std::vector<std::string>{"a1", "a2"}));
-    CHECK_TRUE((names(choose_instances(leaders, "r1", "zb")) == std::vector<std::string>{"b1"}));
-    CHECK_TRUE((names(choose_instances(leaders, "r1", "zx")) == std::vector<std::string>{"a1", "a2"}));
-    CHECK_TRUE((names(choose_instances(leaders, "r9", "zy")) == std::vector<std::string>{"a1", "a2"}));
-    CHECK_TRUE(choose_instances({}, "r1", "za").empty());
+    CHECK_TRUE((names(choose_instances(leaders, "r1", "za", 0.0)) == std::vector<std::string>{"a1", "a2"}));
+    CHECK_TRUE((names(choose_instances(leaders, "r1", "zb", 0.0)) == std::vector<std::string>{"b1"}));
+    CHECK_TRUE((names(choose_instances(leaders, "r1", "zx", 0.0)) == std::vector<std::string>{"a1", "a2"}));
+    CHECK_TRUE((names(choose_instances(leaders, "r9", "zy", 0.0)) == std::vector<std::string>{"a1", "a2"}));
+    CHECK_TRUE(choose_instances({}, "r1", "za", 0.0).empty());
 }
 
 // Guards against a weak instance that gets as many requests as a strong one when another strong one has gone: it held
 // requests for 0.7 s and sent them to targets after their callers had left.
-TEST(choose_instances, names_as_many_as_the_weakest_needs) {
+TEST(choose_instances, names_as_many_as_the_demand_needs) {
     LONGS_EQUAL(
-        2, named_count(std::vector{make("s1", "z", 500U, 150U), make("s2", "z", 500U, 150U), make("w1", "z", 100U)}));
-    LONGS_EQUAL(1, named_count(std::vector{make("s2", "z", 500U, 150U), make("w1", "z", 100U), make("w2", "z", 100U)}));
-    std::vector<peer_record> zone{make("s2", "z", 500U, 300U)};
+        2, count_named(std::vector{make("s1", "z", 500U, 150U), make("s2", "z", 500U, 150U), make("w1", "z", 100U)}));
+    LONGS_EQUAL(1, count_named(std::vector{make("s2", "z", 500U, 150U), make("w1", "z", 100U), make("w2", "z", 100U)}));
+    std::vector<peer_record> zone{make("s2", "z", 500U, 350U)};
     for (std::size_t number = 0U; number < 12U; ++number) {
         zone.push_back(make("w" + std::to_string(number), "z", 100U));
     }
-    LONGS_EQUAL(6, named_count(zone));
+    LONGS_EQUAL_TEXT(3, count_named(zone), "250 and twice 50 requests a second");
     zone.erase(zone.begin());
     zone.front().requests_per_second = 300U;
-    LONGS_EQUAL(6, named_count(zone));
-    LONGS_EQUAL(2, named_count(std::vector{make("a", "z"), make("b", "z"), make("c", "z")}));
-    LONGS_EQUAL(1, named_count(std::vector{make("a", "z")}));
+    LONGS_EQUAL(6, count_named(zone));
+    LONGS_EQUAL(2, count_named(std::vector{make("a", "z"), make("b", "z"), make("c", "z")}));
+    LONGS_EQUAL(1, count_named(std::vector{make("a", "z")}));
+}
+
+// Guards against a burst in which 57 of 110 instances were named, because each caller was told weak and strong ones
+// alike: none of them knew the targets then, and their messages about it took their processor time.
+TEST(choose_instances, tells_callers_of_strong_and_weak_instances_by_their_strength) {
+    std::vector<peer_record> zone{make("s1", "za", 500U, 280U), make("s2", "za", 500U, 270U)};
+    for (std::size_t number = 0U; number < 25U; ++number) {
+        zone.push_back(make("w" + std::to_string(number), "za", 100U));
+    }
+    std::size_t strong = 0U;
+    constexpr std::size_t calls = 120U;
+    for (std::size_t call = 0U; call < calls; ++call) {
+        const auto told = choose_instances(zone, "r1", "za", (static_cast<double>(call) + 0.5) / calls);
+        LONGS_EQUAL(2, told.size());
+        LONGS_EQUAL(told[0U].identity.millicores, told[1U].identity.millicores);
+        strong += told.front().identity.millicores == 500U ? 1U : 0U;
+    }
+    LONGS_EQUAL_TEXT(calls * 500U / 600U, strong, "strong ones take 500 of 600 requests a second");
+}
+
+// Guards against strong instances losing all callers at once when a burst slows them, to ones a fifth as strong.
+TEST(choose_instances, keeps_a_strained_strong_instance_among_weak_ones) {
+    auto strong = make("s1", "z", 500U, 300U);
+    strong.strained = true;
+    const std::vector zone{strong, make("w1", "z", 100U), make("w2", "z", 100U), make("w3", "z", 100U)};
+    const auto groups = name_instances(zone);
+    STRCMP_EQUAL("s1", groups.front().instances.front().identity.name.c_str());
+    LONGS_EQUAL(4, count_named(zone));
 }
--- a/test/mangopulley/gateway/load_sharing.cpp
+++ b/test/mangopulley/gateway/load_sharing.cpp
@@ -37,7 +37,7 @@
     std::vector<std::pair<std::string, std::string>> sent{};
     std::map<std::uint32_t, std::uint32_t> foreign{};
     load_sharing sharing{
-        loop, load_sharing_rule{}, "10.0.0.1",
+        loop, load_sharing_rule{}, leaders.front().identity,
         load_sharing::outlets{[this] { return leaders; },
                               [this](const std::string& ip, const std::string& bytes) { sent.emplace_back(ip, bytes); },
                               [this](const std::uint32_t key, const std::uint32_t count) { foreign[key] = count; }}};
@@ -59,9 +59,12 @@
     sharing.note(7U, 1U);
     sharing.note(7U, 2U);
     pass(milliseconds{5});
-    LONGS_EQUAL_TEXT(2, sent.size(), "one message for several changes to each of the others");
+    LONGS_EQUAL_TEXT(1, sent.size(), "one message for several changes");
     STRCMP_EQUAL("10.0.0.2", sent[0U].first.c_str());
+    pass(milliseconds{25});
+    LONGS_EQUAL_TEXT(2, sent.size(), "other zones hear of it later");
     STRCMP_EQUAL("10.0.0.4", sent[1U].first.c_str());
+    DOUBLES_EQUAL(1.0 / 3.0, sharing.own_part(), 0.001);
     CHECK_TRUE(sharing.receive("10.0.0.2", sent[0U].second));
     LONGS_EQUAL(2, foreign[7U]);
 }
--- a/test/mangopulley/gateway/shared_load.cpp
+++ b/test/mangopulley/gateway/shared_load.cpp
@@ -22,13 +22,13 @@
     const auto key = shared_load::key_of("t1");
     other.note(key, 2U);
     third.note(key, 1U);
-    CHECK_TRUE(here.receive("10.0.0.2", *other.take_changes(), now));
-    CHECK_TRUE(here.receive("10.0.0.3", *third.take_changes(), now));
+    CHECK_TRUE(here.receive("10.0.0.2", *other.take_changes(shared_load::audience::own_zone), now));
+    CHECK_TRUE(here.receive("10.0.0.3", *third.take_changes(shared_load::audience::own_zone), now));
     LONGS_EQUAL(3, told[key]);
     other.note(key, 0U);
-    CHECK_TRUE(here.receive("10.0.0.2", *other.take_changes(), now));
+    CHECK_TRUE(here.receive("10.0.0.2", *other.take_changes(shared_load::audience::own_zone), now));
     LONGS_EQUAL(1, here.foreign(key));
-    CHECK_FALSE(other.take_changes().has_value());
+    CHECK_FALSE(other.take_changes(shared_load::audience::own_zone).has_value());
 }
 
 // Guards against a lost datagram or a dead sender blocking slots for good.
@@ -36,10 +36,10 @@
     const auto first = shared_load::key_of("t1");
     const auto second = shared_load::key_of("t2");
     other.note(first, 1U);
-    CHECK_TRUE(here.receive("10.0.0.2", *other.take_changes(), now));
+    CHECK_TRUE(here.receive("10.0.0.2", *other.take_changes(shared_load::audience::own_zone), now));
     other.note(first, 0U);
     other.note(second, 1U);
-    static_cast<void>(other.take_changes());
+    static_cast<void>(other.take_changes(shared_load::audience::own_zone));
     CHECK_TRUE(here.receive("10.0.0.2", other.all(), now));
     LONGS_EQUAL(0, here.foreign(first));
     LONGS_EQUAL(1, here.foreign(second));
