Send other instances only what changed in the list of targets

Cause: a changed list was fetched whole by every instance, 25 KB for 249 targets, from a reader that may have a link of 10 Mbit/s.

An instance says the digest of the list it holds and gets what changed since; digests before and after guard against a wrong base, and then the whole list is fetched. Lists are kept in the order of their ids.

Ruled out: several pages a read (a page holds 500), readers in line that were too slow (the first place read in time except while the platform was away).

--- a/src/mangopulley/gateway/document_codec.cpp
+++ b/src/mangopulley/gateway/document_codec.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint32_t limit_fields = 4U;
 constexpr std::uint32_t list_fields = 2U;
 constexpr std::uint32_t config_fields = 5U;
+constexpr std::uint32_t changes_fields = 5U;
 
 void write_duration(message_writer& writer, const duration time) {
     writer.number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
@@ -145,6 +146,28 @@
     return reader.valid() && reader.finished() ? std::optional{std::move(list)} : std::nullopt;
 }
 
+std::string encode_changes(const target_changes& changes) {
+    message_writer writer{};
+    writer.array(internal::changes_fields).number(changes.from).number(changes.to).number(changes.revision);
+    internal::write_records(writer, changes.changed, internal::write_target);
+    internal::write_records(writer, changes.removed, [](message_writer& out, const std::string& id) { out.text(id); });
+    return writer.take();
+}
+
+std::optional<target_changes> decode_changes(const std::string_view bytes) {
+    message_reader reader{bytes};
+    target_changes changes{};
+    if (reader.array(internal::changes_fields) != internal::changes_fields) {
+        return std::nullopt;
+    }
+    changes.from = reader.number();
+    changes.to = reader.number();
+    changes.revision = reader.number();
+    internal::read_records(reader, changes.changed, internal::read_target);
+    internal::read_records(reader, changes.removed, [](message_reader& in) { return std::string{in.text()}; });
+    return reader.valid() && reader.finished() ? std::optional{std::move(changes)} : std::nullopt;
+}
+
 std::string encode_config(const routing_config& config) {
     message_writer writer{};
     writer.array(internal::config_fields).number(config.version).number(config.revision);
--- a/src/mangopulley/gateway/document_codec.hpp
+++ b/src/mangopulley/gateway/document_codec.hpp
@@ -13,6 +13,10 @@
 [[nodiscard]] std::string encode_targets(const target_list& list);
 /*! @brief Decodes a list of targets; nothing when the bytes are none. */
 [[nodiscard]] std::optional<target_list> decode_targets(std::string_view bytes);
+/*! @brief Encodes changes of a list of targets for another instance. */
+[[nodiscard]] std::string encode_changes(const target_changes& changes);
+/*! @brief Decodes changes of a list of targets; nothing when the bytes are none. */
+[[nodiscard]] std::optional<target_changes> decode_changes(std::string_view bytes);
 /*! @brief Encodes a routing configuration for another instance. */
 [[nodiscard]] std::string encode_config(const routing_config& config);
 /*! @brief Decodes a routing configuration; nothing when the bytes are none. */
--- a/src/mangopulley/gateway/listed_target.hpp
+++ b/src/mangopulley/gateway/listed_target.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,27 @@
     std::vector<listed_target> targets{};
 };
 
+/*! @brief What turns one list of targets into another one. */
+struct target_changes {
+    /*! @brief Digest of the list before. */
+    std::uint64_t from{};
+    /*! @brief Digest of the list after. */
+    std::uint64_t to{};
+    std::uint64_t revision{};
+    /*! @brief Targets that are new or different. */
+    std::vector<listed_target> changed{};
+    /*! @brief Ids of targets that are gone. */
+    std::vector<std::string> removed{};
+};
+
+/**
+ * @brief Applies changes to a list.
+ * @param list List that the changes start from.
+ * @param changes Changes.
+ * @return The list after, or nothing when the digests show that the changes do not belong to the list.
+ */
+[[nodiscard]] std::optional<target_list> apply_changes(const target_list& list, const target_changes& changes);
+
 /**
  * @brief Returns a digest of what decides where requests go.
  *
@@ -43,5 +65,6 @@
  * @return 64 bits, equal for equal lists.
  */
 [[nodiscard]] std::uint64_t digest_of(const target_list& list);
+[[nodiscard]] std::uint64_t digest_of(const listed_target& target);
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/peer_service.cpp
+++ b/src/mangopulley/gateway/peer_service.cpp
@@ -1,5 +1,7 @@
 #include "peer_service.hpp"
 
+#include <charconv>
+#include <optional>
 #include <utility>
 
 #include "document_codec.hpp"
@@ -9,6 +11,18 @@
 peer_service::peer_service(const platform_follower& documents, std::function<std::vector<known_instance>()> instances)
     : follower{documents}, known{std::move(instances)} {}
 
+std::string peer_service::targets_for(const http_request& request) const {
+    if (const auto former = request.parameter("since")) {
+        std::uint64_t digest{};
+        const auto* end = former->data() + former->size();
+        const auto parsed = std::from_chars(former->data(), end, digest);
+        if (const auto changes = parsed.ptr == end ? this->follower.changes_since(digest) : std::nullopt) {
+            return encode_changes(*changes);
+        }
+    }
+    return encode_targets(this->follower.listed());
+}
+
 void peer_service::answer(caller_exchange& exchange) const {
     http_reply reply{};
     reply.content_type = "application/msgpack";
@@ -16,7 +30,7 @@
     if (path == "/config" && this->follower.config().revision > 0U) {
         reply.body = encode_config(this->follower.config());
     } else if (path == "/targets" && this->follower.informed()) {
-        reply.body = encode_targets(this->follower.listed());
+        reply.body = this->targets_for(exchange.request());
     } else if (path == "/members") {
         reply.body = encode_members(this->known());
     } else {
--- a/src/mangopulley/gateway/peer_service.hpp
+++ b/src/mangopulley/gateway/peer_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "caller_port.hpp"
@@ -9,7 +10,7 @@
 
 namespace mangopulley {
 
-/*! @brief Hands other instances the documents that this one holds: configuration, targets and known instances. */
+/*! @brief Hands other instances the documents that this one holds. */
 class peer_service {
 public:
     /**
@@ -23,6 +24,9 @@
     void answer(caller_exchange& exchange) const;
 
 private:
+    /*! @brief Returns the changes since the list that the asking instance holds, or else the whole list. */
+    [[nodiscard]] std::string targets_for(const http_request& request) const;
+
     const platform_follower& follower;
     std::function<std::vector<known_instance>()> known;
 };
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -8,6 +8,7 @@
 #include "document_codec.hpp"
 #include "fnv_hash.hpp"
 #include "read_times.hpp"
+#include "target_history.hpp"
 
 namespace mangopulley {
 
@@ -61,6 +62,8 @@
     routing_config config{};
     target_list listed{};
     std::uint64_t digest{};
+    target_history history{};
+    bool fetch_whole_list{};
     internal::reading targets{};
     internal::reading configs{};
     /*! @brief Targets missing since an outage, with the time until which they are still used. */
@@ -176,6 +179,8 @@
         }
         const auto time = this->now();
         const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
+        std::sort(found.targets.begin(), found.targets.end(),
+                  [](const listed_target& left, const listed_target& right) { return left.id < right.id; });
         const auto next = digest_of(found);
         const bool changed = next != this->digest || !this->targets.as_of;
         if (after_outage) {
@@ -185,6 +190,9 @@
         this->targets.read = made.number;
         this->listed = std::move(found);
         this->digest = next;
+        if (changed) {
+            this->history.note(this->listed);
+        }
         if (changed || after_outage) {
             this->log_targets(from, as_of, after_outage);
             this->publish();
@@ -286,13 +294,27 @@
             return;
         }
         this->targets.fetching = true;
-        this->environment.fetch(ip, "/targets", [this, made, ip](std::string&& bytes) {
+        const bool from_changes = this->targets.as_of && !std::exchange(this->fetch_whole_list, false);
+        const auto path = from_changes ? "/targets?since=" + std::to_string(this->digest) : std::string{"/targets"};
+        this->environment.fetch(ip, path, [this, made, ip](std::string&& bytes) {
             this->targets.fetching = false;
-            if (auto found = decode_targets(bytes)) {
-                this->take_targets(std::move(*found), made, ip);
-            }
+            this->take_answer(bytes, made, ip);
         });
     }
+
+    /*! @brief Takes over a list of targets, or changes of the list held, from another instance. */
+    void take_answer(const std::string& bytes, const internal::source_read& made, const std::string& ip) {
+        if (const auto changes = decode_changes(bytes)) {
+            auto list = apply_changes(this->listed, *changes);
+            // The next answer brings the whole list when these changes did not fit.
+            this->fetch_whole_list = !list;
+            if (list) {
+                this->take_targets(std::move(*list), made, ip);
+            }
+        } else if (auto list = decode_targets(bytes)) {
+            this->take_targets(std::move(*list), made, ip);
+        }
+    }
 };
 
 platform_follower::platform_follower(parts environment, const follower_rule& bounds)
@@ -331,6 +353,10 @@
     return this->self->listed;
 }
 
+std::optional<target_changes> platform_follower::changes_since(const std::uint64_t former) const {
+    return this->self->history.changes_since(former, this->self->listed);
+}
+
 const routing_config& platform_follower::config() const noexcept {
     return this->self->config;
 }
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "../loop/event_loop.hpp"
@@ -74,6 +75,8 @@
     [[nodiscard]] bool informed() const noexcept;
     /*! @brief Returns the list as the platform gave it, for other instances. */
     [[nodiscard]] const target_list& listed() const noexcept;
+    /*! @brief Returns what changed since the list with a digest, or nothing when that one is not known any more. */
+    [[nodiscard]] std::optional<target_changes> changes_since(std::uint64_t former) const;
     [[nodiscard]] const routing_config& config() const noexcept;
     [[nodiscard]] duration targets_age() const noexcept;
     [[nodiscard]] duration config_age() const noexcept;
--- a/test/mangopulley/gateway/document_codec.cpp
+++ b/test/mangopulley/gateway/document_codec.cpp
@@ -66,6 +66,7 @@
 TEST(document_codec, survives_hostile_bytes) {
     check_hostile(encode_targets(list), decode_targets);
     check_hostile(encode_config(config), decode_config);
+    check_hostile(encode_changes({1U, 2U, 3U, list.targets, {"gone"}}), decode_changes);
     known_instance known{};
     known.record.identity.name = "i1";
     check_hostile(encode_members({known}), decode_members);
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -148,6 +149,7 @@
     decision_log log{"test", this->time, 10.0};
     fake_platform platform{};
     std::vector<instance> instances;
+    std::uint64_t fetched_bytes{};
 
 private:
     duration heartbeat_delay{};
@@ -173,14 +175,23 @@
         }
     }
 
+    [[nodiscard]] static std::string document(const platform_follower& source, const std::string& path) {
+        if (path == "/config") {
+            return encode_config(source.config());
+        }
+        const auto since = path.find('=');
+        const auto changes =
+            since == std::string::npos ? std::nullopt : source.changes_since(std::stoull(path.substr(since + 1U)));
+        return changes ? encode_changes(*changes) : encode_targets(source.listed());
+    }
+
     void fetch(const std::size_t to, const std::size_t from, const std::string& path,
                std::function<void(std::string&&)> done) {
         this->loop.after(milliseconds{5}, [this, to, from, path, done = std::move(done)] {
-            const auto& source = *this->instances[from].follower;
             const bool reachable = !this->instances[to].cut && !this->instances[from].cut;
-            done(!reachable          ? std::string{}
-                 : path == "/config" ? encode_config(source.config())
-                                     : encode_targets(source.listed()));
+            auto bytes = reachable ? document(*this->instances[from].follower, path) : std::string{};
+            this->fetched_bytes += bytes.size();
+            done(std::move(bytes));
         });
     }
 };
@@ -302,3 +313,24 @@
         CHECK_TRUE(item.follower->informed());
     }
 }
+
+// Guards against whole lists of targets sent to every instance for each change: 110 instances fetched 25 KB each from a
+// reader with a link of 10 Mbit/s, and read the platform themselves when that took too long.
+TEST(platform_follower, fetches_only_what_changed) {
+    std::vector<std::string> ids{};
+    for (unsigned number = 0U; number < 500U; ++number) {
+        ids.push_back("target-" + std::to_string(number));
+    }
+    group.platform.change_targets(ids);
+    group.platform.change_config(1U);
+    group.start();
+    group.pass(seconds{3});
+    group.fetched_bytes = 0U;
+    group.platform.change_targets(ids, "target-7");
+    group.pass(seconds{2});
+    ids.erase(ids.begin() + 7);
+    CHECK_TRUE(group.fetched_bytes > 0U);
+    CHECK_TRUE_TEXT(group.fetched_bytes < 8U * 500U, "seven instances fetch one changed target");
+    std::sort(ids.begin(), ids.end());
+    CHECK_TRUE(all_use(ids));
+}
