Tell small changes of the target list with the heartbeat that announces a read

Changes of up to 1,200 bytes now travel in the datagram that tells of the read. Whoever misses it, or holds another list, fetches as before.

--- a/src/mangopulley/gateway/fleet.cpp
+++ b/src/mangopulley/gateway/fleet.cpp
@@ -124,12 +124,13 @@
         return digest;
     }
 
-    [[nodiscard]] std::string message(const bool introduces, const bool asks) const {
+    [[nodiscard]] std::string message(const bool introduces, const bool asks, std::string target_changes = {}) const {
         heartbeat_message content{};
         content.record = this->source();
         content.introduces = introduces;
         content.asks = asks;
         content.members_digest = introduces ? this->members_digest() : 0U;
+        content.target_changes = std::move(target_changes);
         return encode_peer_message(content);
     }
 
@@ -219,7 +220,7 @@
         if (decoded->introduces && decoded->members_digest != 0U && decoded->members_digest != this->members_digest()) {
             this->fetch_members(ip);
         }
-        this->action(ip, item.record);
+        this->action(ip, item.record, decoded->target_changes);
     }
 
     void fetch_members(const std::string& ip) {
@@ -275,10 +276,10 @@
     state.timer = state.loop.every(internal::fleet_tick, [&state] { state.tick(); });
 }
 
-void fleet::announce() {
+void fleet::announce(std::string target_changes) {
     auto& state = *this->self;
     state.next_heartbeat = state.loop.now() + state.rule.heartbeat_period;
-    state.send_to_all(state.message(false, false));
+    state.send_to_all(state.message(false, false, std::move(target_changes)));
 }
 
 void fleet::introduce() {
--- a/src/mangopulley/gateway/fleet.hpp
+++ b/src/mangopulley/gateway/fleet.hpp
@@ -42,8 +42,9 @@
         /*! @brief Fetches the list of instances that another one knows, encoded by `encode_members`. */
         std::function<void(const std::string& ip, std::function<void(std::string&&)> done)> fetch_members{};
     };
-    /*! @brief Called with each record heard; identity may be empty. */
-    using listener = std::function<void(const std::string& ip, const peer_record& record)>;
+    /*! @brief Called with each record heard, whose identity may be empty, and the changes of targets told with it. */
+    using listener =
+        std::function<void(const std::string& ip, const peer_record& record, std::string_view target_changes)>;
 
     /**
      * @brief Prepares the membership.
@@ -62,8 +63,8 @@
     /*! @brief Replaces the addresses at which other instances are looked for. */
     void set_seeds(std::vector<std::string> ips);
     void start();
-    /*! @brief Tells all instances what this one knows now. */
-    void announce();
+    /*! @brief Tells all instances what this one knows now, and what has just changed in the list of targets. */
+    void announce(std::string target_changes);
     /*! @brief Introduces this instance to all others, as after a change of its readiness. */
     void introduce();
     /*! @brief Takes in a datagram. */
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -93,7 +93,9 @@
                                 }
                             }};
     fleet members{this->loop, fleet_rule{}, this->fleet_outlets(), [this] { return this->describe_self(); },
-                  [this](const std::string& ip, const peer_record& record) { this->follower.hear(ip, record); }};
+                  [this](const std::string& ip, const peer_record& record, const std::string_view changes) {
+                      this->follower.hear(ip, record, changes);
+                  }};
     load_sharing loads{this->loop, load_sharing_rule{}, this->identity, this->load_outlets()};
     platform_follower follower{this->follower_parts(), follower_rule{}};
     directory_service addresses{this->directory_parts(), directory_rule{}};
@@ -139,7 +141,7 @@
                 [this](const std::string& ip, const std::string& path, std::function<void(std::string &&)> done) {
                     this->documents.fetch(ip, path, std::move(done));
                 },
-                [this] { this->members.announce(); },
+                [this](std::string changes) { this->members.announce(std::move(changes)); },
                 [this](const routing_config& config) { this->routes.apply(config); },
                 [this](const target_list& list) { this->requests.update_targets(list); }};
     }
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::uint64_t peer_format = 5U;
-constexpr std::uint32_t message_fields = 15U;
+constexpr std::uint64_t peer_format = 6U;
+constexpr std::uint32_t message_fields = 16U;
 constexpr std::uint32_t introduction_fields = 6U;
 constexpr std::uint32_t member_fields = 9U;
 constexpr std::uint32_t most_members = 16'384U;
@@ -55,6 +55,7 @@
     internal::write_age(writer, record.config_age);
     writer.number(record.targets_revision).number(record.targets_digest).number(record.targets_read);
     internal::write_age(writer, record.targets_age);
+    writer.text(message.target_changes);
     writer.array(message.introduces ? internal::introduction_fields : 0U);
     if (message.introduces) {
         internal::write_identity(writer, record.identity);
@@ -83,6 +84,7 @@
     record.targets_digest = reader.number();
     record.targets_read = static_cast<std::uint32_t>(reader.number());
     record.targets_age = internal::read_age(reader);
+    message.target_changes = reader.text();
     message.introduces = reader.array(internal::introduction_fields) == internal::introduction_fields;
     if (message.introduces) {
         record.identity = internal::read_identity(reader);
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -54,6 +54,8 @@
     bool asks{};
     /*! @brief Digest of the instances that the sender knows; 0 when it is not told. */
     std::uint64_t members_digest{};
+    /*! @brief Changes of the list of targets that the sender has just read, by `encode_changes`; mostly empty. */
+    std::string target_changes{};
 };
 
 /*! @brief Instance as another one knows it. */
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -114,14 +114,21 @@
                 this->targets.under_way = false;
                 if (auto* list = std::get_if<target_list>(&answer)) {
                     this->regained("targets", this->targets);
+                    const auto former = this->digest;
                     this->take_targets(std::move(*list), begun, "platform");
-                    this->environment.announce();
+                    this->environment.announce(this->changes_to_tell(former));
                 } else {
                     this->failed("targets", this->targets, std::get<platform_error>(answer));
                 }
             });
     }
 
+    [[nodiscard]] std::string changes_to_tell(const std::uint64_t former) const {
+        const auto changes = former == this->digest ? std::nullopt : this->history.changes_since(former, this->listed);
+        auto bytes = changes ? encode_changes(*changes) : std::string{};
+        return bytes.size() <= this->rule.most_told_bytes ? bytes : std::string{};
+    }
+
     void read_config() {
         const auto begun = this->begin_read();
         this->configs.under_way = true;
@@ -131,7 +138,7 @@
                 if (auto* found = std::get_if<routing_config>(&answer)) {
                     this->regained("config", this->configs);
                     this->take_config(std::move(*found), begun, "platform");
-                    this->environment.announce();
+                    this->environment.announce({});
                 } else {
                     this->failed("config", this->configs, std::get<platform_error>(answer));
                 }
@@ -245,10 +252,10 @@
 
     // What other instances know
 
-    void hear(const std::string& ip, const peer_record& record) {
+    void hear(const std::string& ip, const peer_record& record, const std::string_view target_changes) {
         const auto time = this->now();
         this->hear_config(ip, record, time);
-        this->hear_targets(ip, record, time);
+        this->hear_targets(ip, record, target_changes, time);
     }
 
     void hear_config(const std::string& ip, const peer_record& record, const time_point time) {
@@ -270,7 +277,8 @@
         }
     }
 
-    void hear_targets(const std::string& ip, const peer_record& record, const time_point time) {
+    void hear_targets(const std::string& ip, const peer_record& record, const std::string_view target_changes,
+                      const time_point time) {
         if (record.targets_revision == 0U) {
             return;
         }
@@ -290,7 +298,7 @@
             this->listed.revision = std::max(this->listed.revision, record.targets_revision);
             return;
         }
-        if (this->targets.fetching) {
+        if (this->take_told(target_changes, made, ip) || this->targets.fetching) {
             return;
         }
         this->targets.fetching = true;
@@ -302,6 +310,17 @@
         });
     }
 
+    /*! @brief Takes over changes told with a heartbeat; returns false when there are none or they do not fit. */
+    [[nodiscard]] bool take_told(const std::string_view bytes, const internal::source_read& made,
+                                 const std::string& ip) {
+        const auto changes = bytes.empty() ? std::nullopt : decode_changes(bytes);
+        auto list = changes ? apply_changes(this->listed, *changes) : std::nullopt;
+        if (list) {
+            this->take_targets(std::move(*list), made, ip);
+        }
+        return list.has_value();
+    }
+
     /*! @brief Takes over a list of targets, or changes of the list held, from another instance. */
     void take_answer(const std::string& bytes, const internal::source_read& made, const std::string& ip) {
         if (const auto changes = decode_changes(bytes)) {
@@ -330,8 +349,8 @@
     state.timer = state.environment.loop.every(internal::follow_period, [&state] { state.follow(); });
 }
 
-void platform_follower::hear(const std::string& ip, const peer_record& record) {
-    this->self->hear(ip, record);
+void platform_follower::hear(const std::string& ip, const peer_record& record, const std::string_view target_changes) {
+    this->self->hear(ip, record, target_changes);
 }
 
 void platform_follower::describe(peer_record& record) const {
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "../loop/event_loop.hpp"
 #include "../observe/decision_log.hpp"
@@ -30,6 +31,8 @@
     duration outage{std::chrono::milliseconds{2'500}};
     /*! @brief Time after an outage in which a target missing from the list is still used. */
     duration return_grace{std::chrono::milliseconds{2'300}};
+    /*! @brief Changes up to this size are told with the heartbeat, in one datagram; longer ones are fetched. */
+    std::size_t most_told_bytes{1'200U};
 };
 
 /**
@@ -54,8 +57,9 @@
         /*! @brief Fetches a document from another instance. */
         std::function<void(const std::string& ip, const std::string& path, std::function<void(std::string&&)> done)>
             fetch{};
-        /*! @brief Called when something was read, so that others may hear of it. */
-        std::function<void()> announce{};
+        /*! @brief Called when something was read, so that others may hear of it, with what changed among the targets.
+         */
+        std::function<void(std::string target_changes)> announce{};
         std::function<void(const routing_config&)> config_changed{};
         std::function<void(const target_list&)> targets_changed{};
     };
@@ -66,8 +70,8 @@
     ~platform_follower();
 
     void start();
-    /*! @brief Takes in what another instance says it knows. */
-    void hear(const std::string& ip, const peer_record& record);
+    /*! @brief Takes in what another instance says it knows, and the changes of targets that it tells, if any. */
+    void hear(const std::string& ip, const peer_record& record, std::string_view target_changes = {});
 
     /*! @brief Fills in the revisions and ages for a heartbeat. */
     void describe(peer_record& record) const;
--- a/test/mangopulley/gateway/fleet.cpp
+++ b/test/mangopulley/gateway/fleet.cpp
@@ -61,7 +61,7 @@
         };
         item.members = std::make_unique<fleet>(
             this->loop, fleet_rule{}, ways, [this, ip] { return this->nodes[ip].self; },
-            [](const std::string&, const peer_record&) {});
+            [](const std::string&, const peer_record&, std::string_view) {});
         item.members->set_seeds({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
         item.members->start();
         return item;
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -105,7 +105,7 @@
                                         std::function<void(std::string &&)> done) {
                 this->fetch(index, std::stoul(ip), path, std::move(done));
             };
-            parts.announce = [this, index] { this->announce(index); };
+            parts.announce = [this, index](const std::string& changes) { this->announce(index, changes); };
             parts.config_changed = [&item](const routing_config& config) { item.version = config.version; };
             parts.targets_changed = [&item](const target_list& list) {
                 item.usable.clear();
@@ -150,23 +150,25 @@
     fake_platform platform{};
     std::vector<instance> instances;
     std::uint64_t fetched_bytes{};
+    /*! @brief Whether the datagrams that tell changes arrive. */
+    bool tells_changes{true};
 
 private:
     duration heartbeat_delay{};
 
-    void announce(const std::size_t from) {
+    void announce(const std::size_t from, const std::string& changes = {}) {
         peer_record record{};
         this->instances[from].follower->describe(record);
         for (std::size_t to = 0U; to < this->instances.size(); ++to) {
             if (to != from && !this->instances[from].cut && !this->instances[to].cut) {
-                this->deliver(from, to, record);
+                this->deliver(from, to, record, this->tells_changes ? changes : std::string{});
             }
         }
     }
 
-    void deliver(const std::size_t from, const std::size_t to, const peer_record& record) {
-        const auto hear = [this, from, to, record] {
-            this->instances[to].follower->hear(std::to_string(from), record);
+    void deliver(const std::size_t from, const std::size_t to, const peer_record& record, const std::string& changes) {
+        const auto hear = [this, from, to, record, changes] {
+            this->instances[to].follower->hear(std::to_string(from), record, changes);
         };
         if (this->heartbeat_delay == duration::zero()) {
             hear();
@@ -326,11 +328,15 @@
     group.start();
     group.pass(seconds{3});
     group.fetched_bytes = 0U;
+    group.platform.change_targets(ids, "target-9");
+    group.pass(seconds{2});
+    LONGS_EQUAL_TEXT(0, group.fetched_bytes, "a small change comes with the heartbeat");
+    group.tells_changes = false;
     group.platform.change_targets(ids, "target-7");
     group.pass(seconds{2});
     ids.erase(ids.begin() + 7);
     CHECK_TRUE(group.fetched_bytes > 0U);
-    CHECK_TRUE_TEXT(group.fetched_bytes < 8U * 500U, "seven instances fetch one changed target");
+    CHECK_TRUE_TEXT(group.fetched_bytes < 8U * 500U, "seven instances fetch two changed targets");
     std::sort(ids.begin(), ids.end());
     CHECK_TRUE(all_use(ids));
 }
