Test that each outcome leaves its line, and that logging is bounded and waits for nobody

Three tests with three real gateway processes: five ways in which a request ends leave exactly one line each; 8,000 requests at once leave no more than 300 lines a second and instance, and the rest is counted; a full pipe as standard output that nobody reads delays no request.

--- a/test/integration/gateway_platform.cpp
+++ b/test/integration/gateway_platform.cpp
@@ -5,16 +5,20 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <fake/loopback_target.hpp>
+#include <fcntl.h>
 #include <mangopulley/core/clock.hpp>
 #include <mangopulley/gateway/caller_port.hpp>
 #include <mangopulley/http/http_channel.hpp>
 #include <nlohmann/json.hpp>
+#include <standin/common/descriptor.hpp>
 #include <standin/common/process.hpp>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -140,6 +144,9 @@
     std::size_t next_directory{};
     std::size_t next_instance{};
     int next_caller{};
+    /*! @brief Requests that a target never answers, and those whose connection it closes. */
+    std::set<std::string> stuck{};
+    std::set<std::string> lost{};
     std::filesystem::path folder{std::filesystem::temp_directory_path() / ("gateway-" + std::to_string(::getpid()))};
 
     void setup() override {
@@ -168,6 +175,13 @@
     void run(loopback_target::connection & from, const http_request& request) {
         const auto id = request.head.get("Mangopulley-Request-Id", "");
         ++seen.runs[id];
+        if (stuck.contains(id)) {
+            return;
+        }
+        if (lost.contains(id)) {
+            from.close();
+            return;
+        }
         const auto body = "ran " + id;
         const auto text =
             "HTTP/1.1 200 OK\r\nMangopulley-Request-Id: " + id +
@@ -288,6 +302,31 @@
         }
     }
 
+    /*! @brief Floods the instance that callers use with requests that it answers at once. */
+    void flood(const int requests) {
+        constexpr int requests_per_turn = 40;
+        for (int number = 1; number <= requests; ++number) {
+            ask("GET", "/none/", "f" + std::to_string(number));
+            if (number % requests_per_turn == 0) {
+                refresh_addresses();
+                pass(milliseconds{10});
+            }
+        }
+        pass(milliseconds{300});
+    }
+
+    /*! @brief Returns the lines of all instances that contain a text. */
+    std::size_t count_lines(const std::string& text) const {
+        std::size_t count = 0U;
+        for (const auto& instance : instances) {
+            std::istringstream lines{instance->output()};
+            for (std::string line{}; std::getline(lines, line);) {
+                count += line.find(text) == std::string::npos ? 0U : 1U;
+            }
+        }
+        return count;
+    }
+
     /*! @brief Sends about 100 requests in a second, half of them not idempotent. */
     void load(const duration length) {
         const auto end = time.now() + length;
@@ -380,3 +419,68 @@
     CHECK_TRUE(seen.answered * 100 >= seen.asked * 98);
     check_promises();
 }
+
+// Guards against requests whose cause cannot be found afterwards, each with another way to end.
+TEST(gateway_platform, leaves_a_line_for_every_way_in_which_a_request_ends) {
+    begin();
+    ask("GET", "/get/", "answered-1");
+    ask("GET", "/none/", "no-route-1");
+    stuck.insert("late-1");
+    ask("PUT", prefix, "late-1");
+    lost.insert("broken-1");
+    ask("PUT", prefix, "broken-1");
+    pass(seconds{2});
+    for (const auto& target : targets) {
+        store->put_target(target->id, target->endpoint(), "draining");
+    }
+    pass(bound);
+    ask("GET", "/get/", "refused-1");
+    pass(milliseconds{500});
+    LONGS_EQUAL(1, count_lines("request_id=answered-1 outcome=answered status=200"));
+    LONGS_EQUAL(1, count_lines("request_id=no-route-1 outcome=no_route status=404"));
+    LONGS_EQUAL(1, count_lines("request_id=late-1 outcome=time_limit status=504"));
+    LONGS_EQUAL(1, count_lines("request_id=broken-1 outcome=broken status=502"));
+    LONGS_EQUAL(1, count_lines("request_id=refused-1 outcome=no_target status=503"));
+}
+
+// Guards against a flood of requests that becomes a flood of lines; what is left out has to be counted in the log.
+TEST(gateway_platform, bounds_its_lines_in_a_flood) {
+    constexpr int requests = 8'000;
+    constexpr double lines_per_second = 300.0;
+    begin();
+    const auto begun = time.now();
+    flood(requests);
+    pass(milliseconds{100});
+    const auto seconds_passed = std::chrono::duration<double>(time.now() - begun).count();
+    LONGS_EQUAL_TEXT(requests, seen.not_found, "every request has its answer");
+    const auto lines = count_lines("outcome=no_route");
+    // One second's worth may have been saved up by each instance.
+    CHECK_TRUE(static_cast<double>(lines) <= instance_count * lines_per_second * (seconds_passed + 1.0));
+    ask("GET", "/get/", "after");
+    pass(milliseconds{500});
+    CHECK_TRUE_TEXT(lines == requests || count_lines("event=log_lines_dropped") > 0U, "dropped lines are counted");
+}
+
+// Guards against requests that wait for whoever reads the log: the pipe is full and nobody reads it.
+TEST(gateway_platform, answers_while_nobody_reads_its_log) {
+    std::vector<std::unique_ptr<standin::descriptor>> pipes{};
+    for (std::size_t index = 0U; index < instance_count; ++index) {
+        const auto path = folder / ("output" + std::to_string(index));
+        LONGS_EQUAL(0, ::mkfifo(path.c_str(), 0600));
+        // Held open, so that the instance can open it for writing, and never read.
+        pipes.push_back(std::make_unique<standin::descriptor>(::open(path.c_str(), O_RDWR | O_CLOEXEC)));
+    }
+    begin();
+    // More lines than the 2,000 that an instance keeps and the 64 KB that a pipe holds, at 300 lines a second.
+    const auto enough = time.now() + seconds{10};
+    constexpr int requests = 1'000;
+    int asked = 0;
+    for (; time.now() < enough; asked += requests) {
+        flood(requests);
+    }
+    LONGS_EQUAL(asked, seen.not_found);
+    seen = {};
+    load(milliseconds{500});
+    pass(milliseconds{500});
+    LONGS_EQUAL(seen.asked, seen.answered);
+}
