Count a target in another zone as 25 ms slower

A target in another zone counted only 6 ms slower, so that it was taken for small differences of pace.

--- a/src/mangopulley/gateway/target_pool.hpp
+++ b/src/mangopulley/gateway/target_pool.hpp
@@ -59,7 +59,7 @@
     /*! @brief Time constant with which an older reading gives way to the usual pace of the service. */
     duration pace_memory{std::chrono::milliseconds{120}};
     /*! @brief Extra time counted for a target in another zone: its bytes are priced, and the way is longer. */
-    duration other_zone_cost{std::chrono::milliseconds{6}};
+    duration other_zone_cost{std::chrono::milliseconds{25}};
     /*! @brief Work on a cold target takes this much longer. */
     double cold_factor{2.0};
     /*! @brief Work that fills the last slot of a target takes this much longer. */
