--- a/test/integration/catalogue_in_force.cpp
+++ b/test/integration/catalogue_in_force.cpp
@@ -35,12 +35,15 @@
     return {0U, 2U, 3U, 4U};
 }
 
-[[nodiscard]] bool answers_not_run(const cluster& fleet, const std::size_t index) {
-    const auto reply = fleet.request(index, "seals", "read", "x");
+[[nodiscard]] bool says_not_serving(const standin::http_result& reply) {
     return reply.status == 503 && reply.header("Mangopulley-Outcome") == "not-run" &&
            reply.json().value("type", "").ends_with("not-serving");
 }
 
+[[nodiscard]] std::string describe(const standin::http_result& reply) {
+    return "status " + std::to_string(reply.status) + ' ' + reply.failure + ' ' + reply.body;
+}
+
 /*! @brief Fault that begins before an edit and ends after it. */
 struct fault_case {
     const char* name;
@@ -64,15 +67,21 @@
     const auto isolated = test_clock::now();
     // The bound applies to the time at which a request is sent: it is decided then or later.
     auto last_served = isolated;
+    std::string last_reply{};
     const auto stopped = [&] {
         const auto sent = test_clock::now();
-        if (answers_not_run(fleet, affected)) {
+        const auto reply = fleet.request(affected, "seals", "read", "x");
+        if (says_not_serving(reply)) {
             return true;
         }
         last_served = sent;
+        last_reply = describe(reply);
         return false;
     };
-    CHECK_TRUE_TEXT(standin::wait_until(stopped, recovery_limit), "the instance that was cut off never stops serving");
+    const bool ended = standin::wait_until(stopped, recovery_limit);
+    const auto report = "the instance that was cut off never stops serving: " + last_reply +
+                        (ended ? std::string{} : '\n' + fleet.entry(affected).output());
+    CHECK_TRUE_TEXT(ended, report.c_str());
     CHECK_TRUE_TEXT(last_served - isolated <= serving_limit, "the instance that was cut off serves after 4.5 s");
 }
 
