--- a/src/mangopulley/http/response_parser.cpp
+++ b/src/mangopulley/http/response_parser.cpp
@@ -45,14 +45,15 @@
 } // namespace internal
 
 response_parser::state response_parser::read_head() {
+    // Bytes that cannot begin a status line never become a response; POCO would skip leading blanks and line ends.
+    constexpr std::string_view start{"HTTP/1."};
+    const auto seen = std::min(this->buffer.size(), start.size());
+    if (std::string_view{this->buffer}.substr(0U, seen) != start.substr(0U, seen)) {
+        return state::malformed;
+    }
     const auto end = this->buffer.find(internal::response_head_end);
     if (end == std::string::npos) {
-        // Bytes that cannot begin a status line never become a response.
-        const std::string_view start{"HTTP/1."};
-        const auto seen = std::min(this->buffer.size(), start.size());
-        const bool plausible = std::string_view{this->buffer}.substr(0U, seen) == start.substr(0U, seen);
-        return plausible && this->buffer.size() <= internal::longest_response_head ? state::incomplete
-                                                                                   : state::malformed;
+        return this->buffer.size() <= internal::longest_response_head ? state::incomplete : state::malformed;
     }
     const auto size = end + internal::response_head_end.size();
     this->response = http_response{};
--- a/test/mangopulley/http/response_parser.cpp
+++ b/test/mangopulley/http/response_parser.cpp
@@ -64,6 +64,7 @@
         "GARBAGE\r\n\r\n",
         std::string(10U, '\0'),
         "HTTP/1.1 abc OK\r\n\r\n",
+        "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         "HTTP/3.0 200 OK\r\n\r\n",
         "HTTP/1.1 101 Switching\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
