--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -1,14 +1,15 @@
 #include "forwarder.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "../http/field_names.hpp"
+#include "abandoned_sends.hpp"
 #include "forwarded_head.hpp"
+#include "own_answer.hpp"
 #include "route_times.hpp"
 #include "transaction.hpp"
 #include "transaction_log.hpp"
@@ -24,47 +25,7 @@
 constexpr double least_work_share = 0.7;
 constexpr std::uint32_t most_failed_connects = 4U;
 constexpr int misdirected_status = 421;
-constexpr duration unknown_config_retry_after{std::chrono::milliseconds{300}};
 constexpr duration prune_period{std::chrono::milliseconds{500}};
-constexpr duration longest_deadline{std::chrono::hours{1}};
-
-/*! @brief Tells whether a status says that the request has not run; only a proof of that may be passed on as such. */
-[[nodiscard]] bool promises_not_run(const int status) noexcept {
-    return status == 408 || status == misdirected_status || status == 429 || status == 503;
-}
-
-[[nodiscard]] std::string_view name_of(const refusal_reason reason) noexcept {
-    switch (reason) {
-    case refusal_reason::no_target:
-        return "no_target";
-    case refusal_reason::overloaded:
-        return "overloaded";
-    case refusal_reason::out_of_time:
-        return "out_of_time";
-    }
-    return "unknown";
-}
-
-[[nodiscard]] std::string_view name_of(const network_error_code code) noexcept {
-    switch (code) {
-    case network_error::code::connect_failed:
-        return "connect_failed";
-    case network_error::code::broken:
-        return "broken";
-    case network_error::code::timed_out:
-        return "timed_out";
-    case network_error::code::malformed:
-        return "malformed";
-    }
-    return "unknown";
-}
-
-/*! @brief Send whose caller is gone and whose target may finish. */
-struct orphan {
-    attempt left{};
-    std::string service{};
-    timer_id timer{};
-};
 
 } // namespace
 
@@ -77,7 +38,8 @@
     service_lines lines;
     route_times times{this->rule.first_work_share};
     std::unordered_set<internal::transaction_pointer> transactions{};
-    std::unordered_map<std::uint64_t, internal::orphan> orphans{};
+    internal::abandoned_sends abandoned{
+        {this->environment.loop, this->environment.speech, this->lines, this->channels, this->rule.abandoned_time}};
     std::uint64_t last_attempt{};
     std::uint64_t received{};
     timer_id prune_timer{};
@@ -96,9 +58,6 @@
             this->environment.loop.cancel(item->deadline_timer);
             this->environment.loop.cancel(item->second_send_timer);
         }
-        for (const auto& [number, item] : this->orphans) {
-            this->environment.loop.cancel(item.timer);
-        }
     }
 
     [[nodiscard]] time_point now() const noexcept { return this->environment.loop.now(); }
@@ -116,33 +75,15 @@
 
     void handle(const std::shared_ptr<caller_exchange>& exchange) {
         ++this->received;
-        const auto& request = exchange->request();
         auto item = std::make_shared<internal::transaction>();
         item->exchange = exchange;
-        item->facts = this->environment.speech.read_request(request);
-        item->config = this->environment.routes.current();
-        item->arrived = request.received;
-        item->deadline = request.received + item->facts.time_left.value_or(internal::longest_deadline);
-        if (item->config->revision == 0U) {
-            item->retry_after = internal::unknown_config_retry_after;
-            this->finish(item, 503, "no_config");
-            return;
-        }
-        const auto host = request.header(field_name::host);
-        item->selected = host ? this->environment.routes.find(*host, request.path) : nullptr;
-        if (item->selected == nullptr) {
-            this->finish(item, 404, "no_route");
-            return;
-        }
-        if (item->facts.id.empty()) {
-            this->finish(item, 400, "no_request_id");
-            return;
+        const auto verdict =
+            internal::read_arrival(*item, this->environment.speech, this->environment.routes, this->times);
+        if (verdict) {
+            this->finish(item, *verdict);
+        } else {
+            this->admit(item);
         }
-        item->deadline = std::min(item->deadline, item->arrived + item->selected->time_limit);
-        item->goal = item->arrived + item->selected->latency_goal -
-                     this->times.spent_before(*item->selected, item->facts.time_left);
-        item->service = std::string{this->environment.routes.next_service(*item->selected)};
-        this->admit(item);
     }
 
     void admit(const internal::transaction_pointer& item) {
@@ -254,7 +195,7 @@
     void settle(const internal::transaction_pointer& item, const std::uint64_t number, exchange_outcome&& outcome) {
         auto sent = this->close_attempt(item, number);
         if (!sent) {
-            this->settle_orphan(number, std::move(outcome));
+            this->abandoned.settle(number, std::move(outcome));
             return;
         }
         if (outcome.failure) {
@@ -348,13 +289,13 @@
         if (item->fallback) {
             this->deliver(item, *item->fallback);
         } else if (item->may_have_run) {
-            this->finish(item, 502, item->cause);
+            this->finish(item, {502, item->cause});
         } else {
             if (item->retry_after == duration::zero()) {
                 item->retry_after =
                     std::max<duration>(this->lines.expected_wait(item->service), std::chrono::milliseconds{100});
             }
-            this->finish(item, 503, item->cause);
+            this->finish(item, {503, item->cause});
         }
     }
 
@@ -374,9 +315,9 @@
         if (item->fallback) {
             this->deliver(item, *item->fallback);
         } else if (sent || item->may_have_run) {
-            this->finish(item, 504, "time_limit");
+            this->finish(item, {504, "time_limit"});
         } else {
-            this->finish(item, 503, "time_limit");
+            this->finish(item, {503, "time_limit"});
         }
     }
 
@@ -408,34 +349,7 @@
             sent.channel.reset();
             return;
         }
-        const auto number = sent.number;
-        auto& left = this->orphans[number];
-        left.service = item->service;
-        left.left = std::move(sent);
-        left.timer = this->environment.loop.after(this->rule.orphan_time, [this, number] {
-            exchange_outcome unanswered{};
-            unanswered.failure = network_error::code::timed_out;
-            this->settle_orphan(number, std::move(unanswered));
-        });
-    }
-
-    void settle_orphan(const std::uint64_t number, exchange_outcome&& outcome) {
-        const auto position = this->orphans.find(number);
-        if (position == this->orphans.end()) {
-            return;
-        }
-        auto item = std::move(position->second);
-        this->orphans.erase(position);
-        this->environment.loop.cancel(item.timer);
-        std::optional<load_reading> load{};
-        if (!outcome.failure) {
-            load = this->environment.speech.read_response(outcome.response).load;
-            if (outcome.reusable) {
-                this->channels.give_back(item.left.target->listing.endpoint, std::move(item.left.channel));
-            }
-        }
-        this->release(item.service, item.left, outcome.failure ? send_outcome::failed : send_outcome::answered, load);
-        this->lines.advance(item.service);
+        this->abandoned.keep(item->service, std::move(sent));
     }
 
     // Answers
@@ -443,7 +357,7 @@
     void deliver(const internal::transaction_pointer& item, const http_response& response) {
         const int status = response.status();
         if (!item->selected->idempotent && internal::promises_not_run(status)) {
-            this->finish(item, 502, "status_would_promise_not_run");
+            this->finish(item, {502, "status_would_promise_not_run"});
             return;
         }
         const bool bodiless = is_bodiless(item->exchange->request()) || status == 204 || status == 304;
@@ -451,18 +365,10 @@
         this->close(item, status, "answered");
     }
 
-    void finish(const internal::transaction_pointer& item, const int status, const std::string_view outcome) {
-        http_reply reply{};
-        reply.status = status;
-        reply.content_type = "application/problem+json";
-        reply.body = nlohmann::json{{"status", status}, {"title", outcome}, {"request_id", item->facts.id}}.dump(
-            -1, ' ', false, nlohmann::json::error_handler_t::replace);
-        if (status == 503) {
-            const auto seconds = std::chrono::duration<double>(item->retry_after).count();
-            reply.headers.push_back({field_name::retry_after, internal::to_decimal(seconds)});
-        }
+    void finish(const internal::transaction_pointer& item, const internal::own_verdict& verdict) {
         const auto exchange = item->exchange;
-        this->close(item, status, outcome);
+        const auto reply = internal::own_answer(*item, verdict);
+        this->close(item, verdict.status, verdict.outcome);
         exchange->answer(reply);
     }
 
--- a/src/mangopulley/gateway/forwarder.hpp
+++ b/src/mangopulley/gateway/forwarder.hpp
@@ -28,7 +28,7 @@
     /*! @brief Shortest time before a second send. */
     duration least_second_send{std::chrono::milliseconds{60}};
     /*! @brief A target at work on a non-idempotent request whose caller left may finish within this time. */
-    duration orphan_time{std::chrono::seconds{3}};
+    duration abandoned_time{std::chrono::seconds{3}};
 };
 
 /**
--- a/src/mangopulley/gateway/transaction_log.cpp
+++ b/src/mangopulley/gateway/transaction_log.cpp
@@ -44,6 +44,32 @@
     return text;
 }
 
+std::string_view name_of(const refusal_reason reason) noexcept {
+    switch (reason) {
+    case refusal_reason::no_target:
+        return "no_target";
+    case refusal_reason::overloaded:
+        return "overloaded";
+    case refusal_reason::out_of_time:
+        return "out_of_time";
+    }
+    return "unknown";
+}
+
+std::string_view name_of(const network_error_code code) noexcept {
+    switch (code) {
+    case network_error::code::connect_failed:
+        return "connect_failed";
+    case network_error::code::broken:
+        return "broken";
+    case network_error::code::timed_out:
+        return "timed_out";
+    case network_error::code::malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
 void record_end(const transaction& item, const int status, const std::string_view outcome, const time_point now,
                 decision_log& log, metrics& numbers) {
     const auto waited = (item.first_sent == time_point{} ? now : item.first_sent) - item.arrived;
--- a/src/mangopulley/gateway/transaction_log.hpp
+++ b/src/mangopulley/gateway/transaction_log.hpp
@@ -2,6 +2,7 @@
 
 #include <string_view>
 
+#include "../core/error.hpp"
 #include "../observe/decision_log.hpp"
 #include "../observe/metrics.hpp"
 #include "transaction.hpp"
@@ -11,6 +12,11 @@
 /*! @brief Returns a number with two decimals, for header fields and log lines. */
 [[nodiscard]] std::string to_decimal(double number);
 
+/*! @brief Returns the word for a refusal in log lines. */
+[[nodiscard]] std::string_view name_of(refusal_reason reason) noexcept;
+/*! @brief Returns the word for a failure of the network in log lines. */
+[[nodiscard]] std::string_view name_of(network_error_code code) noexcept;
+
 /**
  * @brief Writes the line of a finished request and counts it.
  * @param item Request.
