Log which instances callers are told whenever that changes

Cause: with groups drawn by strength the instances named to callers follow the demand, and no line said so; a complaint about one address could not be traced to the decision behind it. The line tells the names in all zones, the part of the requests that falls to this instance, and its rate.

--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -200,7 +200,20 @@
             [this](const std::string& ip, const std::string& bytes) {
                 this->datagrams.send(this->peer_endpoint(ip), bytes);
             },
-            [this](const std::uint32_t key, const std::uint32_t foreign) { this->requests.set_foreign(key, foreign); }};
+            [this](const std::uint32_t key, const std::uint32_t foreign) { this->requests.set_foreign(key, foreign); },
+            [this](const std::vector<std::string>& names) { this->log_named(names); }};
+    }
+
+    void log_named(const std::vector<std::string>& names) {
+        std::string all{};
+        for (const auto& name : names) {
+            all.append(all.empty() ? "" : ",").append(name);
+        }
+        this->log.change("named_instances_changed",
+                         {{"count", std::to_string(names.size())},
+                          {"instances", std::move(all)},
+                          {"own_part", std::to_string(this->loads.own_part())},
+                          {"own_requests_per_second", std::to_string(this->requests_per_second)}});
     }
 
     [[nodiscard]] directory_service::parts directory_parts() {
--- a/src/mangopulley/gateway/load_sharing.cpp
+++ b/src/mangopulley/gateway/load_sharing.cpp
@@ -34,6 +34,7 @@
         [this](const std::uint32_t key, const std::uint32_t foreign) { this->ways.foreign_changed(key, foreign); }};
     internal::receivers near{shared_load::audience::own_zone, this->rule.change_period};
     internal::receivers far{shared_load::audience::other_zones, this->rule.other_zones_period};
+    std::vector<std::string> names{};
     std::size_t named_in_all{1U};
     double part{1.0};
     timer_id full_timer{};
@@ -52,6 +53,7 @@
         for (auto& record : this->ways.leaders()) {
             zones[record.identity.zone].push_back(std::move(record));
         }
+        std::vector<std::string> present{};
         this->near.ips.clear();
         this->far.ips.clear();
         this->named_in_all = 0U;
@@ -62,6 +64,7 @@
                 total += group.strength;
                 this->named_in_all += group.instances.size();
                 for (const auto& record : group.instances) {
+                    present.push_back(record.identity.name);
                     if (record.identity.ip == this->own.ip) {
                         own_strength = group.strength / static_cast<double>(group.instances.size());
                     } else {
@@ -72,6 +75,10 @@
         }
         const auto equal_part = 1.0 / static_cast<double>(std::max<std::size_t>(this->named_in_all, 1U));
         this->part = own_strength > 0.0 ? own_strength / total : equal_part;
+        if (present != this->names) {
+            this->names = std::move(present);
+            this->ways.named_changed(this->names);
+        }
     }
 
     void tell(const internal::receivers& listeners, const std::string& bytes) const {
--- a/test/mangopulley/gateway/load_sharing.cpp
+++ b/test/mangopulley/gateway/load_sharing.cpp
@@ -36,11 +36,13 @@
                                      leader("10.0.0.3", "zone-a"), leader("10.0.0.4", "zone-b")};
     std::vector<std::pair<std::string, std::string>> sent{};
     std::map<std::uint32_t, std::uint32_t> foreign{};
+    std::vector<std::vector<std::string>> named{};
     load_sharing sharing{
         loop, load_sharing_rule{}, leaders.front().identity,
         load_sharing::outlets{[this] { return leaders; },
                               [this](const std::string& ip, const std::string& bytes) { sent.emplace_back(ip, bytes); },
-                              [this](const std::uint32_t key, const std::uint32_t count) { foreign[key] = count; }}};
+                              [this](const std::uint32_t key, const std::uint32_t count) { foreign[key] = count; },
+                              [this](const std::vector<std::string>& names) { named.push_back(names); }}};
 
     void pass(const duration length) {
         for (duration done{}; done < length; done += milliseconds{1}) {
@@ -84,6 +86,18 @@
     LONGS_EQUAL(0, foreign[7U]);
 }
 
+// Guards against callers that are told other instances without a line that says so, and against a line each time.
+TEST(load_sharing, tells_once_when_other_instances_are_named) {
+    sharing.start();
+    pass(milliseconds{1'100});
+    LONGS_EQUAL(1, named.size());
+    LONGS_EQUAL(3, named.front().size());
+    leaders.erase(leaders.begin() + 1);
+    pass(milliseconds{300});
+    LONGS_EQUAL(2, named.size());
+    STRCMP_EQUAL("10.0.0.3", named.back()[1U].c_str());
+}
+
 // Guards against other datagrams of the same port being taken for counts.
 TEST(load_sharing, leaves_other_messages_alone) {
     CHECK_FALSE(sharing.receive("10.0.0.2", "no message of loads"));
