--- a/test/platform/record_decoder.cpp
+++ b/test/platform/record_decoder.cpp
@@ -45,6 +45,20 @@
     STRCMP_EQUAL("i-2", decoded->next_after.c_str());
 }
 
+// Guards against an entry of another writer whose mark of deletion has another type: it ended the process.
+TEST(record_decoder, takes_only_true_as_a_mark_of_deletion) {
+    const auto marked = [](const std::string& mark) {
+        return R"({"metadata":{"name":"i-1","revision":7,"pending_delete":)" + mark + R"(},"spec":)" + good + "}";
+    };
+    for (const std::string mark : {"\"yes\"", "1", "null", "{}", "false"}) {
+        const auto decoded = decode_target_page(page(marked(mark)));
+        CHECK_TRUE_TEXT(decoded.has_value(), mark.c_str());
+        LONGS_EQUAL_TEXT(1, decoded->list.targets.size(), mark.c_str());
+        CHECK_FALSE_TEXT(decoded->list.targets.front().leaving, mark.c_str());
+    }
+    CHECK_TRUE(decode_target_page(page(marked("true")))->list.targets.front().leaving);
+}
+
 // Guards against entries of other writers: each names no target, and the others hold.
 TEST(record_decoder, passes_over_entries_that_name_no_target) {
     const std::string foreign[]{
