--- a/src/mangopulley/gateway/fnv_hash.hpp
+++ b/src/mangopulley/core/fnv_hash.hpp
@@ -10,10 +10,15 @@
 public:
     /*! @brief Adds a text and a mark of its end, so that neighbouring texts do not run together. */
     constexpr fnv_hash& add(const std::string_view text) noexcept {
+        this->add_bytes(text).step(0U);
+        return *this;
+    }
+
+    /*! @brief Adds the bytes of a text alone. */
+    constexpr fnv_hash& add_bytes(const std::string_view text) noexcept {
         for (const char letter : text) {
             this->step(static_cast<unsigned char>(letter));
         }
-        this->step(0U);
         return *this;
     }
 
--- a/src/mangopulley/entry/request_headers.cpp
+++ b/src/mangopulley/entry/request_headers.cpp
@@ -1,8 +1,9 @@
 #include "request_headers.hpp"
 
-#include <charconv>
 #include <utility>
 
+#include "../core/whole_number.hpp"
+
 namespace mangopulley {
 
 namespace internal {
@@ -24,13 +25,11 @@
     if (!text) {
         return fallback;
     }
-    std::uint32_t value{};
-    const auto* end = text->data() + text->size();
-    const auto parsed = std::from_chars(text->data(), end, value);
-    if (parsed.ec != std::errc{} || parsed.ptr != end || value < least || value > most) {
+    const auto value = parse_whole<std::uint32_t>(*text);
+    if (!value || *value < least || *value > most) {
         return reject(header, *text, "a number from " + std::to_string(least) + " to " + std::to_string(most));
     }
-    return value;
+    return *value;
 }
 
 [[nodiscard]] bool is_trace_text(const std::string& text) noexcept {
--- a/src/mangopulley/gateway/caller_port.cpp
+++ b/src/mangopulley/gateway/caller_port.cpp
@@ -24,6 +24,21 @@
 
 class caller_connection;
 
+/*! @brief Writes status line and fields of a reply, without those of the framing. */
+[[nodiscard]] std::string head_of(const http_reply& reply) {
+    const auto status = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status);
+    std::string head{"HTTP/1.1 "};
+    head.append(std::to_string(reply.status)).append(" ");
+    head.append(Poco::Net::HTTPResponse::getReasonForStatus(status)).append("\r\n");
+    if (!reply.body.empty()) {
+        head.append("Content-Type: ").append(reply.content_type).append("\r\n");
+    }
+    for (const auto& field : reply.headers) {
+        head.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    return head;
+}
+
 struct caller_port_state {
     event_loop& loop;
     std::function<http_limits()> limits;
@@ -132,11 +147,8 @@
     void reject(const int status, const std::string_view reason) {
         this->answering = true;
         this->keep_alive = false;
-        std::string head{"HTTP/1.1 "};
-        const auto text =
-            Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
-        head.append(std::to_string(status)).append(" ").append(text).append("\r\nContent-Type: text/plain\r\n");
-        this->answer(head, reason, false);
+        const auto reply = text_reply(status, std::string{reason});
+        this->answer(head_of(reply), reply.body, false);
     }
 
     void after_send() {
@@ -197,19 +209,7 @@
         }
     }
 
-    void answer(const http_reply& reply) override {
-        std::string head{"HTTP/1.1 "};
-        const auto status = static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status);
-        head.append(std::to_string(reply.status)).append(" ");
-        head.append(Poco::Net::HTTPResponse::getReasonForStatus(status)).append("\r\n");
-        if (!reply.body.empty()) {
-            head.append("Content-Type: ").append(reply.content_type).append("\r\n");
-        }
-        for (const auto& field : reply.headers) {
-            head.append(field.name).append(": ").append(field.value).append("\r\n");
-        }
-        this->answer(head, reply.body, false);
-    }
+    void answer(const http_reply& reply) override { this->answer(head_of(reply), reply.body, false); }
 
     void on_gone(std::function<void()> action) override {
         if (const auto held = this->connection.lock()) {
--- a/src/mangopulley/gateway/document_codec.cpp
+++ b/src/mangopulley/gateway/document_codec.cpp
@@ -1,6 +1,6 @@
 #include "document_codec.hpp"
 
-#include "../wire/message.hpp"
+#include "duration_codec.hpp"
 
 namespace mangopulley {
 
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Bound of the times in a configuration and a list of targets, as read from the platform.
+constexpr duration longest_time{std::chrono::hours{24}};
 constexpr std::uint32_t most_records = 100'000U;
 constexpr std::uint32_t target_fields = 8U;
 constexpr std::uint32_t route_fields = 9U;
@@ -18,14 +20,6 @@
 constexpr std::uint32_t config_fields = 5U;
 constexpr std::uint32_t changes_fields = 5U;
 
-void write_duration(message_writer& writer, const duration time) {
-    writer.number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
-}
-
-[[nodiscard]] duration read_duration(message_reader& reader) {
-    return std::chrono::microseconds{static_cast<std::int64_t>(reader.number())};
-}
-
 template <typename Record, typename Write>
 void write_records(message_writer& writer, const std::vector<Record>& records, Write write) {
     writer.array(static_cast<std::uint32_t>(records.size()));
@@ -58,7 +52,7 @@
     target.zone = reader.text();
     target.slots = static_cast<std::uint32_t>(reader.number());
     target.leaving = reader.boolean();
-    target.warm_up = read_duration(reader);
+    target.warm_up = read_duration(reader, longest_time);
     return target;
 }
 
@@ -89,8 +83,8 @@
     item.host = reader.text();
     item.prefix = reader.text();
     item.idempotent = reader.boolean();
-    item.time_limit = read_duration(reader);
-    item.latency_goal = read_duration(reader);
+    item.time_limit = read_duration(reader, longest_time);
+    item.latency_goal = read_duration(reader, longest_time);
     item.priority = static_cast<std::uint32_t>(reader.number());
     item.attempts = static_cast<std::uint32_t>(reader.number());
     read_records(reader, item.parts, read_part);
@@ -121,8 +115,8 @@
     reader.array(limit_fields);
     limits.head_bytes = reader.number();
     limits.body_bytes = reader.number();
-    limits.head_time = read_duration(reader);
-    limits.idle_time = read_duration(reader);
+    limits.head_time = read_duration(reader, longest_time);
+    limits.idle_time = read_duration(reader, longest_time);
     return limits;
 }
 
--- a/src/mangopulley/gateway/fleet.cpp
+++ b/src/mangopulley/gateway/fleet.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <utility>
 
-#include "rendezvous.hpp"
+#include "../core/rendezvous.hpp"
 
 namespace mangopulley {
 
@@ -47,8 +47,8 @@
     if (left_strength != right_strength) {
         return left_strength > right_strength;
     }
-    const auto left_rank = member_rank("leader", left.identity.name);
-    const auto right_rank = member_rank("leader", right.identity.name);
+    const auto left_rank = rendezvous_rank("leader", left.identity.name);
+    const auto right_rank = rendezvous_rank("leader", right.identity.name);
     return left_rank != right_rank ? left_rank > right_rank : left.identity.name < right.identity.name;
 }
 
@@ -110,7 +110,7 @@
     [[nodiscard]] std::uint64_t members_digest() const {
         std::uint64_t digest = 0U;
         const auto add = [&digest](const std::string& ip, const std::uint64_t incarnation) {
-            digest ^= member_rank(ip, std::to_string(incarnation));
+            digest ^= rendezvous_rank(ip, std::to_string(incarnation));
         };
         for (const auto& [ip, item] : this->members) {
             if (this->usable(item)) {
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -218,7 +218,13 @@
             }
             return;
         }
-        this->release(item->service, sent, send_outcome::failed, std::nullopt);
+        this->settle_unproved(item, sent, std::nullopt);
+    }
+
+    /*! @brief Ends a send that brought no answer to deliver, and of which nobody knows whether it ran. */
+    void settle_unproved(const internal::transaction_pointer& item, internal::attempt& sent,
+                         const std::optional<load_reading>& load) {
+        this->release(item->service, sent, send_outcome::failed, load);
         item->may_have_run = true;
         if (item->selected->idempotent && this->take_repeat(item)) {
             this->enqueue(item);
@@ -243,12 +249,8 @@
             return;
         }
         if (!facts.genuine || response.head.has(field_name::content_encoding)) {
-            this->release(item->service, sent, send_outcome::failed, facts.load);
-            item->may_have_run = true;
             item->cause = "not_genuine";
-            if (item->selected->idempotent && this->take_repeat(item)) {
-                this->enqueue(item);
-            }
+            this->settle_unproved(item, sent, facts.load);
             return;
         }
         item->may_have_run = true;
@@ -305,7 +307,6 @@
             return;
         }
         const bool sent = !item->open.empty();
-        this->withdraw(item);
         for (auto& open : item->open) {
             // A target that took far longer than expected counts as failing; others only had too little time.
             const bool overdue = this->now() - open.begun > 2 * open.expected;
@@ -326,11 +327,6 @@
         if (item->finished) {
             return;
         }
-        this->withdraw(item);
-        for (auto& open : item->open) {
-            this->leave(item, open, send_outcome::unused);
-        }
-        item->open.clear();
         this->close(item, 0, "caller_gone");
         this->lines.advance(item->service);
     }
@@ -361,8 +357,9 @@
             return;
         }
         const bool bodiless = is_bodiless(item->exchange->request()) || status == 204 || status == 304;
-        item->exchange->answer(forwarded_response_head(response, bodiless), response.body, bodiless);
+        // Closed first: the answer may let the caller's next request in, which must not meet what waits for this one.
         this->close(item, status, "answered");
+        item->exchange->answer(forwarded_response_head(response, bodiless), response.body, bodiless);
     }
 
     void finish(const internal::transaction_pointer& item, const internal::own_verdict& verdict) {
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <Poco/Exception.h>
+#include <Poco/String.h>
 #include <nlohmann/json.hpp>
 
 #include "../core/incarnation_id.hpp"
@@ -23,6 +24,7 @@
 #include "platform_adapter.hpp"
 #include "platform_follower.hpp"
 #include "route_table.hpp"
+#include "transaction_log.hpp"
 
 namespace mangopulley {
 
@@ -99,7 +101,7 @@
     load_sharing loads{this->loop, load_sharing_rule{}, this->identity, this->load_outlets()};
     platform_follower follower{this->follower_parts(), follower_rule{}};
     directory_service addresses{this->directory_parts(), directory_rule{}};
-    peer_service documents_told{this->follower, [this] { return this->known_instances(); }};
+    peer_service peer_answers{this->follower, [this] { return this->known_instances(); }};
     caller_port callers{this->loop, this->configuration.caller_endpoint, [this] { return this->caller_bounds(); },
                         [this](const auto& exchange) { this->requests.handle(exchange); }};
     caller_port readiness{this->loop, this->configuration.readiness_endpoint, [] { return http_limits{}; },
@@ -109,7 +111,7 @@
     caller_port operators{this->loop, this->configuration.operator_endpoint, [] { return http_limits{}; },
                           [this](const auto& exchange) { this->answer_operator(*exchange); }};
     caller_port peers{this->loop, this->peer_endpoint(this->configuration.ip), [] { return http_limits{}; },
-                      [this](const auto& exchange) { this->documents_told.answer(*exchange); }};
+                      [this](const auto& exchange) { this->peer_answers.answer(*exchange); }};
 
     implementation(gateway_settings values, const clock& source, std::function<std::string()> reader,
                    const platform_factory& factory)
@@ -205,15 +207,11 @@
     }
 
     void log_named(const std::vector<std::string>& names) {
-        std::string all{};
-        for (const auto& name : names) {
-            all.append(all.empty() ? "" : ",").append(name);
-        }
         this->log.change("named_instances_changed",
                          {{"count", std::to_string(names.size())},
-                          {"instances", std::move(all)},
-                          {"own_part", std::to_string(this->loads.own_part())},
-                          {"own_requests_per_second", std::to_string(this->requests_per_second)}});
+                          {"instances", Poco::cat(std::string{","}, names.begin(), names.end())},
+                          {"own_part", internal::to_decimal(this->loads.own_part())},
+                          {"own_requests_per_second", internal::to_decimal(this->requests_per_second)}});
     }
 
     [[nodiscard]] directory_service::parts directory_parts() {
--- a/src/mangopulley/gateway/listed_target.cpp
+++ b/src/mangopulley/gateway/listed_target.cpp
@@ -3,7 +3,7 @@
 #include <map>
 #include <utility>
 
-#include "fnv_hash.hpp"
+#include "../core/fnv_hash.hpp"
 
 namespace mangopulley {
 
--- a/src/mangopulley/gateway/load_sharing.cpp
+++ b/src/mangopulley/gateway/load_sharing.cpp
@@ -34,8 +34,8 @@
         [this](const std::uint32_t key, const std::uint32_t foreign) { this->ways.foreign_changed(key, foreign); }};
     internal::receivers near{shared_load::audience::own_zone, this->rule.change_period};
     internal::receivers far{shared_load::audience::other_zones, this->rule.other_zones_period};
+    /*! @brief Names of the instances that callers are told, this one among them where it is. */
     std::vector<std::string> names{};
-    std::size_t named_in_all{1U};
     double part{1.0};
     timer_id full_timer{};
 
@@ -48,6 +48,8 @@
         this->loop.cancel(this->full_timer);
     }
 
+    [[nodiscard]] std::size_t sharing() const noexcept { return std::max<std::size_t>(this->names.size(), 1U); }
+
     void find_named() {
         std::map<std::string, std::vector<peer_record>> zones{};
         for (auto& record : this->ways.leaders()) {
@@ -56,13 +58,11 @@
         std::vector<std::string> present{};
         this->near.ips.clear();
         this->far.ips.clear();
-        this->named_in_all = 0U;
         double total = 0.0;
         double own_strength = 0.0;
         for (const auto& [zone, records] : zones) {
             for (const auto& group : name_instances(records)) {
                 total += group.strength;
-                this->named_in_all += group.instances.size();
                 for (const auto& record : group.instances) {
                     present.push_back(record.identity.name);
                     if (record.identity.ip == this->own.ip) {
@@ -73,10 +73,10 @@
                 }
             }
         }
-        const auto equal_part = 1.0 / static_cast<double>(std::max<std::size_t>(this->named_in_all, 1U));
-        this->part = own_strength > 0.0 ? own_strength / total : equal_part;
-        if (present != this->names) {
-            this->names = std::move(present);
+        const bool changed = present != this->names;
+        this->names = std::move(present);
+        this->part = own_strength > 0.0 ? own_strength / total : 1.0 / static_cast<double>(this->sharing());
+        if (changed) {
             this->ways.named_changed(this->names);
         }
     }
@@ -135,7 +135,7 @@
 }
 
 std::size_t load_sharing::sharing() const noexcept {
-    return std::max<std::size_t>(this->self->named_in_all, 1U);
+    return this->self->sharing();
 }
 
 double load_sharing::own_part() const noexcept {
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -1,8 +1,6 @@
 #include "peer_record.hpp"
 
-#include <algorithm>
-
-#include "../wire/message.hpp"
+#include "duration_codec.hpp"
 
 namespace mangopulley {
 
@@ -14,17 +12,9 @@
 constexpr std::uint32_t message_fields = 16U;
 constexpr std::uint32_t introduction_fields = 6U;
 constexpr std::uint32_t member_fields = 9U;
+constexpr duration longest_age{std::chrono::hours{1}};
 constexpr std::uint32_t most_members = 16'384U;
 
-void write_age(message_writer& writer, const duration age) {
-    writer.number(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(age).count()));
-}
-
-[[nodiscard]] duration read_age(message_reader& reader) {
-    constexpr std::uint64_t longest_us = 3'600'000'000U;
-    return std::chrono::microseconds{std::min(reader.number(), longest_us)};
-}
-
 void write_identity(message_writer& writer, const instance_identity& identity) {
     writer.text(identity.name).text(identity.ip).text(identity.zone).text(identity.region);
     writer.text(identity.caller_endpoint).number(identity.millicores);
@@ -52,9 +42,9 @@
     writer.boolean(record.ready).boolean(message.asks).number(message.members_digest);
     writer.boolean(record.strained).number(record.requests_per_second);
     writer.number(record.config_revision).number(record.config_read);
-    internal::write_age(writer, record.config_age);
+    internal::write_duration(writer, record.config_age);
     writer.number(record.targets_revision).number(record.targets_digest).number(record.targets_read);
-    internal::write_age(writer, record.targets_age);
+    internal::write_duration(writer, record.targets_age);
     writer.text(message.target_changes);
     writer.array(message.introduces ? internal::introduction_fields : 0U);
     if (message.introduces) {
@@ -79,11 +69,11 @@
     record.requests_per_second = static_cast<std::uint32_t>(reader.number());
     record.config_revision = reader.number();
     record.config_read = static_cast<std::uint32_t>(reader.number());
-    record.config_age = internal::read_age(reader);
+    record.config_age = internal::read_duration(reader, internal::longest_age);
     record.targets_revision = reader.number();
     record.targets_digest = reader.number();
     record.targets_read = static_cast<std::uint32_t>(reader.number());
-    record.targets_age = internal::read_age(reader);
+    record.targets_age = internal::read_duration(reader, internal::longest_age);
     message.target_changes = reader.text();
     message.introduces = reader.array(internal::introduction_fields) == internal::introduction_fields;
     if (message.introduces) {
@@ -97,7 +87,7 @@
     writer.array(static_cast<std::uint32_t>(members.size()));
     for (const auto& member : members) {
         writer.array(internal::member_fields).number(member.record.incarnation).boolean(member.record.ready);
-        internal::write_age(writer, member.silence);
+        internal::write_duration(writer, member.silence);
         internal::write_identity(writer, member.record.identity);
     }
     return writer.take();
@@ -114,7 +104,7 @@
         }
         member.record.incarnation = reader.number();
         member.record.ready = reader.boolean();
-        member.silence = internal::read_age(reader);
+        member.silence = internal::read_duration(reader, internal::longest_age);
         member.record.identity = internal::read_identity(reader);
         members.push_back(std::move(member));
     }
--- a/src/mangopulley/gateway/peer_service.cpp
+++ b/src/mangopulley/gateway/peer_service.cpp
@@ -1,9 +1,9 @@
 #include "peer_service.hpp"
 
-#include <charconv>
 #include <optional>
 #include <utility>
 
+#include "../core/whole_number.hpp"
 #include "document_codec.hpp"
 
 namespace mangopulley {
@@ -13,10 +13,8 @@
 
 std::string peer_service::targets_for(const http_request& request) const {
     if (const auto former = request.parameter("since")) {
-        std::uint64_t digest{};
-        const auto* end = former->data() + former->size();
-        const auto parsed = std::from_chars(former->data(), end, digest);
-        if (const auto changes = parsed.ptr == end ? this->follower.changes_since(digest) : std::nullopt) {
+        const auto digest = parse_whole<std::uint64_t>(*former);
+        if (const auto changes = digest ? this->follower.changes_since(*digest) : std::nullopt) {
             return encode_changes(*changes);
         }
     }
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "../core/fnv_hash.hpp"
 #include "document_codec.hpp"
-#include "fnv_hash.hpp"
 #include "read_times.hpp"
 #include "target_history.hpp"
 
@@ -205,7 +205,7 @@
         this->listed = std::move(found);
         this->digest = next;
         if (changed) {
-            this->history.note(this->listed);
+            this->history.note(next, this->listed);
         }
         if (changed || after_outage) {
             this->log_targets(from, as_of, after_outage);
--- a/src/mangopulley/gateway/shared_load.cpp
+++ b/src/mangopulley/gateway/shared_load.cpp
@@ -7,8 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "../core/rendezvous.hpp"
 #include "../wire/message.hpp"
-#include "rendezvous.hpp"
 
 namespace mangopulley {
 
@@ -77,7 +77,7 @@
 shared_load::~shared_load() = default;
 
 std::uint32_t shared_load::key_of(const std::string_view target) noexcept {
-    return static_cast<std::uint32_t>(member_rank("target", target));
+    return static_cast<std::uint32_t>(rendezvous_rank("target", target));
 }
 
 void shared_load::note(const std::uint32_t key, const std::uint32_t in_flight) {
--- a/src/mangopulley/gateway/target_history.cpp
+++ b/src/mangopulley/gateway/target_history.cpp
@@ -16,9 +16,9 @@
 
 } // namespace internal
 
-void target_history::note(const target_list& list) {
+void target_history::note(const std::uint64_t digest, const target_list& list) {
     version next{};
-    next.digest = digest_of(list);
+    next.digest = digest;
     next.targets.reserve(list.targets.size());
     for (const auto& target : list.targets) {
         next.targets.emplace_back(target.id, digest_of(target));
@@ -38,13 +38,15 @@
     }
     target_changes changes{};
     changes.from = former;
-    changes.to = digest_of(present);
+    const auto& latest = this->versions.back();
+    changes.to = latest.digest;
     changes.revision = present.revision;
     std::unordered_map<std::string, std::uint64_t> before{known->targets.begin(), known->targets.end()};
-    for (const auto& target : present.targets) {
-        const auto old = before.extract(target.id);
-        if (old.empty() || old.mapped() != digest_of(target)) {
-            changes.changed.push_back(target);
+    for (std::size_t index = 0U; index < latest.targets.size(); ++index) {
+        const auto& [id, digest] = latest.targets[index];
+        const auto old = before.extract(id);
+        if (old.empty() || old.mapped() != digest) {
+            changes.changed.push_back(present.targets[index]);
         }
     }
     for (auto& [id, digest] : before) {
--- a/src/mangopulley/gateway/target_history.hpp
+++ b/src/mangopulley/gateway/target_history.hpp
@@ -16,12 +16,16 @@
  */
 class target_history {
 public:
-    /*! @brief Notes a list that others may hold from now on; the oldest one is forgotten. */
-    void note(const target_list& list);
+    /**
+     * @brief Notes a list that others may hold from now on; the oldest one is forgotten.
+     * @param digest Digest of the list.
+     * @param list List.
+     */
+    void note(std::uint64_t digest, const target_list& list);
     /**
      * @brief Returns what turns a former list into the present one.
      * @param former Digest of the former list.
-     * @param present Present list.
+     * @param present List noted last.
      * @return Changes, or nothing when the former list is not known any more.
      */
     [[nodiscard]] std::optional<target_changes> changes_since(std::uint64_t former, const target_list& present) const;
--- a/src/mangopulley/gateway/transaction_log.cpp
+++ b/src/mangopulley/gateway/transaction_log.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <string>
 
+#include <Poco/String.h>
+
 namespace mangopulley::internal {
 
 namespace {
@@ -17,14 +19,6 @@
     return text;
 }
 
-[[nodiscard]] std::string joined(const std::vector<std::string>& ids) {
-    std::string text{};
-    for (const auto& id : ids) {
-        text.append(text.empty() ? "" : ",").append(id);
-    }
-    return text;
-}
-
 void count_end(const transaction& item, const int status, const std::string_view outcome, const time_point now,
                metrics& numbers) {
     std::string name{"requests_total{service=\""};
@@ -79,7 +73,7 @@
                             {"cause", item.cause},
                             {"route", item.selected == nullptr ? std::string{} : item.selected->name},
                             {"service", item.service},
-                            {"targets", joined(item.tried)},
+                            {"targets", Poco::cat(std::string{","}, item.tried.begin(), item.tried.end())},
                             {"waited_ms", to_milliseconds(waited)},
                             {"total_ms", to_milliseconds(now - item.arrived)},
                             {"time_left_ms", to_milliseconds(item.deadline - now)},
--- a/src/mangopulley/http/response_parser.cpp
+++ b/src/mangopulley/http/response_parser.cpp
@@ -1,7 +1,6 @@
 #include "response_parser.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <istream>
 #include <optional>
 #include <utility>
@@ -10,6 +9,7 @@
 #include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 
+#include "../core/whole_number.hpp"
 #include "field_names.hpp"
 
 namespace mangopulley {
@@ -30,9 +30,8 @@
         if (Poco::icompare(name, field_name::content_length) != 0) {
             continue;
         }
-        std::size_t number{};
-        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), number);
-        if (parsed.ec != std::errc{} || parsed.ptr != value.data() + value.size() || (length && *length != number)) {
+        const auto number = parse_whole<std::size_t>(value);
+        if (!number || (length && *length != *number)) {
             return std::nullopt;
         }
         length = number;
--- a/src/mangopulley/membership/address_book.cpp
+++ b/src/mangopulley/membership/address_book.cpp
@@ -6,27 +6,13 @@
 #include <tuple>
 #include <utility>
 
+#include "../core/rendezvous.hpp"
 #include "member_table.hpp"
 
 namespace mangopulley {
 
 namespace internal {
 
-[[nodiscard]] std::uint64_t hash_text(const std::string_view text, std::uint64_t seed) noexcept {
-    // FNV-1a; std::hash is not the same in all builds.
-    for (const char letter : text) {
-        seed = (seed ^ static_cast<unsigned char>(letter)) * 0x100000001b3U;
-    }
-    return seed;
-}
-
-[[nodiscard]] std::uint64_t finish_hash(std::uint64_t value) noexcept {
-    // Finaliser of SplitMix64: FNV-1a alone ranks names that differ only in the last letter alike for all keys.
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31U);
-}
-
 void sort_by_rank(std::vector<member>& members, const std::string_view key) {
     std::sort(members.begin(), members.end(), [key](const member& left, const member& right) {
         return std::pair{rendezvous_rank(key, left.instance_name), left.incarnation.value()} >
@@ -36,12 +22,6 @@
 
 } // namespace internal
 
-std::uint64_t rendezvous_rank(const std::string_view key, const std::string_view instance_name) noexcept {
-    constexpr std::uint64_t basis = 0xcbf29ce484222325U;
-    const auto key_hash = internal::finish_hash(internal::hash_text(key, basis));
-    return internal::finish_hash(internal::hash_text(instance_name, basis) ^ key_hash);
-}
-
 std::vector<member> address_book::addresses_of(const std::string_view service, const std::size_t count) const {
     auto members = this->table.live();
     std::erase_if(members, [](const member& about) { return about.state == member_state::leaving || !about.serving; });
--- a/src/mangopulley/membership/address_book.hpp
+++ b/src/mangopulley/membership/address_book.hpp
@@ -14,14 +14,6 @@
 /*! @brief Watchers of the store in each zone; two, so that one can fail without delay to edits. */
 inline constexpr std::size_t watchers_per_zone = 2U;
 
-/**
- * @brief Rendezvous rank of an instance for a key; the highest rank wins.
- * @param key Service name or other key.
- * @param instance_name Name, not incarnation, so that a restarted instance gets its services back.
- * @return The rank, equal in all instances.
- */
-[[nodiscard]] std::uint64_t rendezvous_rank(std::string_view key, std::string_view instance_name) noexcept;
-
 /*! @brief Says which instances do what, by rendezvous hashing over the members that this instance holds to be live. */
 class address_book {
 public:
--- a/src/mangopulley/membership/heartbeat.cpp
+++ b/src/mangopulley/membership/heartbeat.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "address_book.hpp"
+#include "../core/rendezvous.hpp"
 #include "member_table.hpp"
 
 namespace mangopulley {
--- a/src/mangopulley/observe/decision_log.cpp
+++ b/src/mangopulley/observe/decision_log.cpp
@@ -1,34 +1,20 @@
 #include "decision_log.hpp"
 
-#include <algorithm>
 #include <string>
 
+#include "../limit/token_bucket.hpp"
+
 namespace mangopulley {
 
 struct decision_log::implementation {
     event_log log;
     const clock& time;
-    double rate;
-    double tokens;
-    time_point refilled;
+    token_bucket lines;
     std::uint64_t dropped{};
     std::uint64_t reported{};
 
     implementation(const std::string_view component, const clock& source, const double lines_per_second)
-        : log{component}, time{source}, rate{lines_per_second}, tokens{lines_per_second}, refilled{source.now()} {}
-
-    [[nodiscard]] bool admit() {
-        const auto now = this->time.now();
-        const auto passed = std::chrono::duration<double>(now - this->refilled).count();
-        this->refilled = now;
-        this->tokens = std::min(this->tokens + passed * this->rate, this->rate);
-        if (this->tokens < 1.0) {
-            ++this->dropped;
-            return false;
-        }
-        this->tokens -= 1.0;
-        return true;
-    }
+        : log{component}, time{source}, lines{lines_per_second, lines_per_second, source.now()} {}
 };
 
 decision_log::decision_log(const std::string_view component, const clock& time, const double lines_per_second)
@@ -38,7 +24,8 @@
 
 void decision_log::request(const std::string_view event, const std::initializer_list<event_log::field> fields) {
     auto& state = *this->self;
-    if (!state.admit()) {
+    if (!state.lines.try_take(state.time.now())) {
+        ++state.dropped;
         return;
     }
     if (state.dropped != state.reported) {
--- a/test/mangopulley/gateway/target_history.cpp
+++ b/test/mangopulley/gateway/target_history.cpp
@@ -33,9 +33,9 @@
     target_list after{list_of({"a", "c", "d"}, 9U)};
 
     void setup() override {
-        history.note(before);
+        history.note(digest_of(before), before);
         after.targets[1U].leaving = true;
-        history.note(after);
+        history.note(digest_of(after), after);
     }
 };
 
@@ -64,7 +64,8 @@
 TEST(target_history, knows_only_the_latest_lists) {
     CHECK_FALSE(history.changes_since(12'345U, after).has_value());
     for (unsigned number = 0U; number < 10U; ++number) {
-        history.note(list_of({"x" + std::to_string(number)}, number));
+        const auto other = list_of({"x" + std::to_string(number)}, number);
+        history.note(digest_of(other), other);
     }
     CHECK_FALSE(history.changes_since(digest_of(before), after).has_value());
 }
