Wait while a socket's send buffer is full instead of giving up the connection

Cause: POCO's sendBytes on a non-blocking socket reports a full send buffer as an I/O error with the code EWOULDBLOCK, neither as -1 nor as a TimeoutException. stream::flush took it for a broken connection, so any request or response larger than the free socket buffer ended as 502 or as a cut response.

Change: such codes are temporary, for sending and receiving alike; sending resumes when the socket is writable. Sent bytes are dropped from the front of the buffer, which otherwise grows for as long as it never runs empty.

--- a/src/mangopulley/loop/stream.cpp
+++ b/src/mangopulley/loop/stream.cpp
@@ -1,8 +1,10 @@
 #include "stream.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
+#include <Poco/Error.h>
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
@@ -22,6 +24,14 @@
 constexpr int max_accepts_per_turn = 64;
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
+// Sent bytes are dropped from the front of the buffer in pieces of at least this size.
+constexpr std::size_t min_compaction_bytes = 65'536U;
+
+/*! @brief Returns whether the socket merely cannot take or deliver bytes now; POCO reports that of a send as an error. */
+[[nodiscard]] bool is_temporary(const Poco::Exception& error) noexcept {
+    return dynamic_cast<const Poco::TimeoutException*>(&error) != nullptr || error.code() == POCO_EWOULDBLOCK ||
+           error.code() == POCO_EAGAIN || error.code() == POCO_EINTR;
+}
 
 void configure(Poco::Net::StreamSocket& socket, const stream_timing& timing) {
     socket.setBlocking(false);
@@ -142,10 +152,10 @@
         int count = 0;
         try {
             count = this->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-        } catch (const Poco::TimeoutException&) {
-            return;
-        } catch (const Poco::Exception&) {
-            this->close_and_notify(true);
+        } catch (const Poco::Exception& error) {
+            if (!internal::is_temporary(error)) {
+                this->close_and_notify(true);
+            }
             return;
         }
         if (count == 0) {
@@ -155,6 +165,27 @@
         }
     }
 
+    /*! @brief Frees the part of the buffer that was sent; most of a large buffer would be moved too often otherwise. */
+    void drop_sent() {
+        if (this->pending_bytes() == 0U) {
+            this->send_buffer.clear();
+            this->send_offset = 0U;
+        } else if (this->send_offset >= std::max(internal::min_compaction_bytes, this->pending_bytes())) {
+            this->send_buffer.erase(0U, this->send_offset);
+            this->send_offset = 0U;
+        }
+    }
+
+    /*! @brief Gives up a failed connection; reported from a timer, because the caller of `send` may hold references. */
+    void discard_unsent() {
+        this->send_offset = this->send_buffer.size();
+        this->loop.after(duration::zero(), [weak_state = this->weak_from_this()] {
+            if (const auto state = weak_state.lock()) {
+                state->close_and_notify(true);
+            }
+        });
+    }
+
     void flush(const bool notify) {
         if (this->connecting || !this->open || this->pending_bytes() == 0U) {
             return;
@@ -169,22 +200,14 @@
                 this->sent_any = true;
                 this->send_offset += static_cast<std::size_t>(count);
             }
-        } catch (const Poco::TimeoutException&) { // NOLINT(bugprone-empty-catch)
-            // The socket's send buffer is full; sending resumes when the socket is writable.
-        } catch (const Poco::Exception&) {
-            // Reported from a timer, because the code that called `send` may hold references into its own state.
-            this->send_offset = this->send_buffer.size();
-            this->loop.after(duration::zero(), [weak_state = this->weak_from_this()] {
-                if (const auto state = weak_state.lock()) {
-                    state->close_and_notify(true);
-                }
-            });
-            return;
-        }
-        if (this->pending_bytes() == 0U) {
-            this->send_buffer.clear();
-            this->send_offset = 0U;
+        } catch (const Poco::Exception& error) {
+            // Sending resumes when a full socket is writable again.
+            if (!internal::is_temporary(error)) {
+                this->discard_unsent();
+                return;
+            }
         }
+        this->drop_sent();
         this->update_modes();
         if (const auto actions = this->callbacks;
             notify && this->pending_bytes() == 0U && actions && actions->drained) {
--- /dev/null
+++ b/test/mangopulley/loop/stream.cpp
@@ -0,0 +1,107 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include <mangopulley/loop/event_loop.hpp>
+#include <mangopulley/loop/stream.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t megabyte = 1'000'000U;
+
+/*! @brief Returns a text without repetitions at the size of any buffer, so that lost or doubled bytes are noticed. */
+[[nodiscard]] std::string numbered_text(const std::size_t size) {
+    std::string text{};
+    for (std::size_t number = 0U; text.size() < size; ++number) {
+        text.append(std::to_string(number)).append(",");
+    }
+    text.resize(size);
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(stream) {
+    system_clock_source time{};
+    event_loop loop{time};
+    std::unique_ptr<stream> sender{};
+    std::unique_ptr<stream> reader{};
+    std::string received{};
+    int drained{};
+    int broken{};
+    std::unique_ptr<stream_listener> listener{std::make_unique<stream_listener>(
+        loop, "127.0.0.1:0", [this](const Poco::Net::StreamSocket& socket) { accept(socket); })};
+
+    void setup() override {
+        stream::events events{};
+        events.received = [](std::string_view) {};
+        events.drained = [this] { ++drained; };
+        events.closed = [this](const bool was_broken) { broken += was_broken ? 1 : 0; };
+        boost::leaf::try_handle_all(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(sender, stream::connect(loop, "127.0.0.1:" + std::to_string(listener->port()),
+                                                          stream_timing{}, std::move(events)));
+                return {};
+            },
+            [] { FAIL("no connection"); });
+        await([this] { return reader != nullptr; });
+    }
+
+    void teardown() override {
+        sender.reset();
+        reader.reset();
+        listener.reset();
+    }
+
+    void accept(const Poco::Net::StreamSocket& socket) {
+        stream::events events{};
+        events.received = [this](const std::string_view bytes) { received.append(bytes); };
+        events.closed = [](bool) {};
+        reader = std::make_unique<stream>(loop, socket, stream_timing{}, std::move(events));
+        reader->pause_reading(true);
+    }
+
+    template <typename Condition>
+    void await(Condition condition) {
+        const auto deadline = time.now() + seconds{10};
+        while (!condition() && time.now() < deadline) {
+            loop.turn(milliseconds{5});
+        }
+        CHECK_TRUE(condition());
+    }
+};
+
+// Guards against a connection that is given up because its peer reads slowly: a full socket buffer is no error.
+TEST(stream, waits_while_the_socket_buffer_is_full) {
+    const auto text = numbered_text(8U * megabyte);
+    sender->send(text);
+    for (int turn = 0; turn < 20; ++turn) {
+        loop.turn(milliseconds{1});
+    }
+    LONGS_EQUAL(0, broken);
+    CHECK_TRUE(sender->unsent() > 0U);
+    reader->pause_reading(false);
+    await([&] { return received.size() == text.size(); });
+    CHECK_TRUE(received == text);
+    LONGS_EQUAL(0, sender->unsent());
+    LONGS_EQUAL(1, drained);
+}
+
+// Guards against bytes that are lost, doubled or reordered when more is sent while the socket buffer is full.
+TEST(stream, keeps_the_order_of_bytes_sent_while_the_socket_buffer_is_full) {
+    const auto text = numbered_text(8U * megabyte);
+    constexpr std::size_t piece = 100'003U;
+    for (std::size_t offset = 0U; offset < text.size(); offset += piece) {
+        sender->send(std::string_view{text}.substr(offset, piece));
+        loop.turn(milliseconds{0});
+    }
+    reader->pause_reading(false);
+    await([&] { return received.size() >= text.size(); });
+    CHECK_TRUE(received == text);
+}
