Stream long request and response bodies with bounded memory

Cause: bodies were held whole, up to the operator's limit of 64 MB for requests and 8 MB for responses, several copies of each. A few large uploads at once ended the process; a slow upload was cut by the time limit for request heads; a target that sent a chunked body of extensions or trailer fields only, or interim responses without end, was read until the deadline.

Change: the request and response parsers hand out a message when its head is complete, and the rest of the body in parts. A body of up to 256 KB is held whole, so that it can be sent again; a longer one goes on to the target while it arrives. Each side is read only when the other has accepted the previous part. All request bodies share a budget of an eighth of the memory in the settings (new: instance.memory_mb); a request that has no room is rejected with 503 before any of it is forwarded. An early response is forwarded, the rest of the body discarded before the close, and the target's connection closed. A body that ends early is never completed, and is sent again only while all of it is held and no target ran it. A response that breaks off resets the caller's connection. Chunk extensions, trailer fields, interim responses and responses to other requests have limits.

--- a/src/mangopulley/gateway/channel_pool.cpp
+++ b/src/mangopulley/gateway/channel_pool.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::size_t max_response_body_bytes = 8U * 1'024U * 1'024U;
+// Bounds a body that never ends; the part that is held at a time is bounded by whoever sends the request.
+constexpr std::size_t max_response_body_bytes = 64U * 1'024U * 1'024U;
 constexpr std::size_t max_idle_per_endpoint = 16U;
 // Applies when the peer does not announce its idle timeout.
 constexpr duration default_idle_limit{std::chrono::seconds{4}};
--- a/src/mangopulley/gateway/forwarded_head.cpp
+++ b/src/mangopulley/gateway/forwarded_head.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 #include <vector>
 
 #include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
 
+#include "../http/chunk.hpp"
 #include "../http/field_names.hpp"
 
 namespace mangopulley {
@@ -56,32 +58,40 @@
 
 } // namespace internal
 
-std::string forwarded_request(const http_request& request, const dialect& wire_dialect, const listed_target& target,
-                              const duration time_left) {
+std::string forwarded_request_head(const http_request& request, const bool body_held, const dialect& wire_dialect,
+                                   const listed_target& target, const duration time_left) {
     std::string head{};
     constexpr std::size_t typical_head_bytes = 512U;
-    head.reserve(typical_head_bytes + request.body.size());
+    head.reserve(typical_head_bytes);
     head.append(request.head.getMethod()).append(" ").append(request.head.getURI()).append(" HTTP/1.1\r\n");
     const auto options = internal::connection_options(request.head);
     bool has_framing = false;
     for (const auto& [name, value] : request.head) {
         has_framing = has_framing || internal::is_framing(name);
-        if (internal::is_framing(name) || internal::contains_field(name, internal::connection_fields) ||
+        if ((body_held && internal::is_framing(name)) || internal::contains_field(name, internal::connection_fields) ||
             internal::contains_field(name, options) || Poco::icompare(name, field_name::expect) == 0 ||
             wire_dialect.overrides_field(name)) {
             continue;
         }
         internal::append_field(head, name, value);
     }
-    if (has_framing) {
+    if (body_held && has_framing) {
         internal::append_field(head, field_name::content_length, std::to_string(request.body.size()));
     }
     wire_dialect.write_fields(head, target, time_left);
     head.append("\r\n");
-    head.append(request.body);
     return head;
 }
 
+std::string forwarded_body_part(const http_request& request, body_part&& part) {
+    if (!request.head.has(field_name::transfer_encoding)) {
+        return std::move(part.bytes);
+    }
+    std::string chunk{};
+    append_chunk(chunk, part);
+    return chunk;
+}
+
 std::string forwarded_response_head(const http_response& response, const bool bodiless) {
     std::string head{"HTTP/1.1 "};
     head.append(std::to_string(response.status())).append(" ").append(response.head.getReason()).append("\r\n");
--- a/src/mangopulley/gateway/forwarded_head.hpp
+++ b/src/mangopulley/gateway/forwarded_head.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "../http/body_part.hpp"
 #include "../http/http_message.hpp"
 #include "../http/response_parser.hpp"
 #include "dialect.hpp"
@@ -10,18 +11,23 @@
 namespace mangopulley {
 
 /**
- * @brief Serializes a caller's request for a target.
+ * @brief Serializes the head of a caller's request for a target.
  *
- * Method, request target and end-to-end fields stay unchanged; hop-by-hop fields are removed.
+ * Method, request target and end-to-end fields stay unchanged; hop-by-hop fields are removed. A body that is held whole
+ * is sent with its length, any other one framed as the caller did.
  *
  * @param request Request.
+ * @param body_held Whether the request holds its whole body.
  * @param wire_dialect Writes the fields that the gateway sets.
  * @param target Only target that may execute the request.
  * @param time_left Time until the deadline, after which a response is of no use.
- * @return Head and body.
  */
-[[nodiscard]] std::string forwarded_request(const http_request& request, const dialect& wire_dialect,
-                                            const listed_target& target, duration time_left);
+[[nodiscard]] std::string forwarded_request_head(const http_request& request, bool body_held,
+                                                 const dialect& wire_dialect, const listed_target& target,
+                                                 duration time_left);
+
+/*! @brief Frames a part of a body that is not held whole, as `forwarded_request_head` announces it. */
+[[nodiscard]] std::string forwarded_body_part(const http_request& request, body_part&& part);
 
 /*! @brief Serializes the head of a target's response, without hop-by-hop fields; framing stays only if bodiless. */
 [[nodiscard]] std::string forwarded_response_head(const http_response& response, bool bodiless);
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarder.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_set>
 #include <utility>
 
@@ -10,6 +11,8 @@
 #include "abandoned_attempts.hpp"
 #include "forwarded_head.hpp"
 #include "gateway_response.hpp"
+#include "request_upload.hpp"
+#include "response_relays.hpp"
 #include "route_estimates.hpp"
 #include "transaction.hpp"
 #include "transaction_log.hpp"
@@ -26,6 +29,8 @@
 constexpr std::uint32_t max_failed_connects = 4U;
 constexpr int misdirected_request_status = 421;
 constexpr duration prune_period{std::chrono::milliseconds{500}};
+// A response that breaks off while it is held can still be replaced by another attempt's.
+constexpr std::size_t longest_held_response = 131'072U;
 
 } // namespace
 
@@ -40,6 +45,7 @@
     std::unordered_set<internal::transaction_pointer> transactions{};
     internal::abandoned_attempts abandoned{
         {this->deps.loop, this->deps.wire_dialect, this->services, this->channels, this->constants.abandoned_timeout}};
+    internal::response_relays relays{{this->deps.loop, this->channels, this->deps.metric_sink, this->deps.log}};
     std::uint64_t last_attempt{};
     std::uint64_t received{};
     timer_id prune_timer{};
@@ -136,27 +142,36 @@
         }
         ++transaction->attempt_count;
         transaction->tried_targets.push_back(target->listing.id);
-        const auto& request = transaction->exchange->request();
-        const auto bytes =
-            forwarded_request(request, this->deps.wire_dialect, target->listing, transaction->deadline - sent_at);
-        auto& channel = *attempt.channel;
         const auto number = attempt.number;
         const auto expected = attempt.expected;
         transaction->open_attempts.push_back(std::move(attempt));
-        channel.send(
-            bytes, is_bodiless(request),
+        this->begin_exchange(transaction, transaction->open_attempts.back());
+        internal::upload_body(transaction, number);
+        this->schedule_hedge(transaction, expected);
+    }
+
+    /*! @brief Sends the request, or as much of it as is held, on the channel of an attempt. */
+    void begin_exchange(const internal::transaction_pointer& transaction, const internal::attempt& attempt) {
+        const auto& request = transaction->exchange->request();
+        const bool body_held = transaction->exchange->body_held();
+        const auto head = forwarded_request_head(request, body_held, this->deps.wire_dialect, attempt.target->listing,
+                                                 transaction->deadline - attempt.sent_at);
+        const auto beginning = body_held ? std::string{} : forwarded_body_part(request, {request.body});
+        attempt.channel->send(
+            {head, body_held ? request.body : beginning, !body_held, is_bodiless(request),
+             internal::longest_held_response},
             [this, id = transaction->metadata.request_id](const http_response& response) {
                 const auto metadata = this->deps.wire_dialect.read_response(response);
                 return metadata.request_id.empty() || metadata.request_id == id;
             },
-            [this, transaction, number](exchange_outcome&& outcome) {
+            [this, transaction, number = attempt.number](exchange_outcome&& outcome) {
                 this->complete_attempt(transaction, number, std::move(outcome));
             });
-        this->schedule_hedge(transaction, expected);
     }
 
     void schedule_hedge(const internal::transaction_pointer& transaction, const duration expected) {
-        if (!transaction->matched_route->idempotent || transaction->hedge_timer != 0U) {
+        if (!transaction->matched_route->idempotent || transaction->hedge_timer != 0U ||
+            !transaction->exchange->body_held()) {
             return;
         }
         const auto wait = std::max(std::chrono::duration_cast<duration>(expected * this->constants.hedge_delay_factor),
@@ -170,11 +185,12 @@
         });
     }
 
-    /*! @brief Takes a retry from the budget if the route's attempt limit, the time left and the budget allow it. */
+    /*! @brief Takes a retry from the budget if the body is held and the attempt limit, the time left and the budget
+     * allow it. */
     [[nodiscard]] bool acquire_retry(const internal::transaction_pointer& transaction) {
         const auto min_time = std::chrono::duration_cast<duration>(
             this->estimates.expected_work(*transaction->matched_route) * internal::min_retry_work_share);
-        return transaction->attempt_count < transaction->matched_route->max_attempts &&
+        return !transaction->body_passed_on && transaction->attempt_count < transaction->matched_route->max_attempts &&
                this->now() + min_time <= transaction->deadline &&
                this->services.try_take_retry(transaction->service, transaction->tried_targets);
     }
@@ -183,13 +199,14 @@
 
     [[nodiscard]] std::optional<internal::attempt> remove_attempt(const internal::transaction_pointer& transaction,
                                                                   const std::uint64_t number) {
-        const auto position = std::find_if(transaction->open_attempts.begin(), transaction->open_attempts.end(),
-                                           [number](const auto& attempt) { return attempt.number == number; });
-        if (position == transaction->open_attempts.end()) {
+        auto* found = internal::find_attempt(*transaction, number);
+        if (found == nullptr) {
             return std::nullopt;
         }
-        auto attempt = std::move(*position);
-        transaction->open_attempts.erase(position);
+        internal::stop_upload(*transaction);
+        auto attempt = std::move(*found);
+        transaction->open_attempts.erase(transaction->open_attempts.begin() +
+                                         std::distance(transaction->open_attempts.data(), found));
         return attempt;
     }
 
@@ -266,8 +283,14 @@
         const bool failed = status >= 500;
         this->end_attempt(transaction->service, attempt, failed ? send_outcome::failed : send_outcome::succeeded,
                           metadata.load);
-        if (!failed) {
+        if (!failed && transaction->exchange->body_held()) {
             this->estimates.record_work(*transaction->matched_route, this->now() - attempt.sent_at, attempt.slowdown);
+        }
+        if (outcome.body_follows) {
+            this->forward_beginning(transaction, attempt, std::move(response));
+            return;
+        }
+        if (!failed) {
             this->forward_response(transaction, response);
             return;
         }
@@ -348,11 +371,14 @@
         transaction->queue_entries.clear();
     }
 
-    /*! @brief Cancels an idempotent attempt by closing its connection; lets a non-idempotent one finish. */
+    /*! @brief Cancels an idempotent attempt, or one whose body is not complete, by closing its connection; lets any
+     * other finish. */
     void detach_attempt(const internal::transaction_pointer& transaction, internal::attempt& attempt,
                         const send_outcome outcome) {
-        if (transaction->matched_route->idempotent) {
-            this->end_attempt(transaction->service, attempt, outcome, std::nullopt);
+        const bool complete = attempt.channel->request_complete();
+        if (transaction->matched_route->idempotent || !complete) {
+            this->end_attempt(transaction->service, attempt, complete ? outcome : send_outcome::cancelled,
+                              std::nullopt);
             attempt.channel.reset();
             return;
         }
@@ -361,10 +387,31 @@
 
     // Responses
 
+    /*! @brief Replaces a response whose status would state, without proof, that the request was not executed. */
+    [[nodiscard]] bool replace_misleading(const internal::transaction_pointer& transaction, const int status) {
+        if (transaction->matched_route->idempotent || !internal::implies_not_executed(status)) {
+            return false;
+        }
+        this->respond(transaction, {502, "status_would_promise_not_run"});
+        return true;
+    }
+
+    /*! @brief Forwards a response whose body is too long to be held; the rest follows while it arrives. */
+    void forward_beginning(const internal::transaction_pointer& transaction, internal::attempt& attempt,
+                           http_response&& response) {
+        const int status = response.status();
+        if (this->replace_misleading(transaction, status)) {
+            return;
+        }
+        this->close(transaction, status, "answered");
+        this->relays.add({transaction->exchange, std::move(attempt.channel), std::move(response),
+                          transaction->metadata.request_id, attempt.target->listing.id,
+                          attempt.target->listing.endpoint, transaction->deadline});
+    }
+
     void forward_response(const internal::transaction_pointer& transaction, const http_response& response) {
         const int status = response.status();
-        if (!transaction->matched_route->idempotent && internal::implies_not_executed(status)) {
-            this->respond(transaction, {502, "status_would_promise_not_run"});
+        if (this->replace_misleading(transaction, status)) {
             return;
         }
         const bool bodiless = is_bodiless(transaction->exchange->request()) || status == 204 || status == 304;
@@ -429,15 +476,13 @@
 }
 
 std::size_t forwarder::open_requests() const noexcept {
-    return this->self->transactions.size();
+    return this->self->transactions.size() + this->self->relays.size();
 }
 
 nlohmann::json forwarder::describe() const {
-    return {{"services", this->self->services.describe()},
-            {"open", this->self->transactions.size()},
-            {"probes", this->self->services.probes()},
-            {"connections_opened", this->self->channels.opened()},
-            {"connections_idle", this->self->channels.idle()}};
+    return {{"services", this->self->services.describe()},         {"open", this->self->transactions.size()},
+            {"responses_in_parts", this->self->relays.size()},     {"probes", this->self->services.probes()},
+            {"connections_opened", this->self->channels.opened()}, {"connections_idle", this->self->channels.idle()}};
 }
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -41,6 +41,11 @@
 constexpr duration shared_read_delay{std::chrono::milliseconds{1'200}};
 constexpr duration read_delay_step{std::chrono::milliseconds{100}};
 constexpr std::uint64_t read_delay_steps = 8U;
+constexpr std::size_t bytes_per_mb = 1'000'000U;
+// The rest is for the copies that wait to be sent, for responses and for everything else.
+constexpr std::size_t body_memory_divisor = 8U;
+// A body that is held whole can be sent again when a target states that it did not execute the request.
+constexpr std::size_t longest_held_body = 262'144U;
 constexpr duration settings_period{std::chrono::seconds{1}};
 constexpr duration expiry_period{std::chrono::milliseconds{100}};
 constexpr duration signal_period{std::chrono::milliseconds{40}};
@@ -104,15 +109,21 @@
     platform_follower follower{this->follower_dependencies(), follower_rule{}};
     directory_service addresses{this->directory_dependencies(), directory_rule{}};
     peer_service peer_documents{this->follower, [this] { return this->known_instances(); }};
-    async_http_server callers{this->loop, this->configuration.caller_endpoint, [this] { return this->caller_bounds(); },
+    memory_budget body_memory{this->configuration.memory_mb * internal::bytes_per_mb / internal::body_memory_divisor};
+    async_http_server callers{this->loop, this->configuration.caller_endpoint, this->body_memory,
+                              [this] { return this->caller_bounds(); },
                               [this](const auto& exchange) { this->requests.handle(exchange); }};
-    async_http_server readiness{this->loop, this->configuration.readiness_endpoint, [] { return http_limits{}; },
+    async_http_server readiness{this->loop, this->configuration.readiness_endpoint, this->body_memory,
+                                [] { return http_limits{}; },
                                 [this](const auto& exchange) { this->addresses.answer_readiness(*exchange); }};
-    async_http_server directory{this->loop, this->configuration.directory_endpoint, [] { return http_limits{}; },
+    async_http_server directory{this->loop, this->configuration.directory_endpoint, this->body_memory,
+                                [] { return http_limits{}; },
                                 [this](const auto& exchange) { this->addresses.answer_query(*exchange); }};
-    async_http_server operators{this->loop, this->configuration.operator_endpoint, [] { return http_limits{}; },
+    async_http_server operators{this->loop, this->configuration.operator_endpoint, this->body_memory,
+                                [] { return http_limits{}; },
                                 [this](const auto& exchange) { this->answer_operator(*exchange); }};
-    async_http_server peers{this->loop, this->peer_endpoint(this->configuration.ip), [] { return http_limits{}; },
+    async_http_server peers{this->loop, this->peer_endpoint(this->configuration.ip), this->body_memory,
+                            [] { return http_limits{}; },
                             [this](const auto& exchange) { this->peer_documents.answer(*exchange); }};
 
     implementation(gateway_settings values, const clock& source, std::function<std::string()> reader,
@@ -261,6 +272,7 @@
         http_limits bounds{};
         bounds.longest_head = limits.head_bytes;
         bounds.longest_body = limits.body_bytes;
+        bounds.longest_held_body = internal::longest_held_body;
         bounds.accept_chunked = true;
         bounds.longest_receive = std::chrono::ceil<milliseconds>(limits.receive_timeout);
         bounds.longest_idle = std::chrono::ceil<milliseconds>(limits.idle_timeout);
@@ -296,6 +308,8 @@
                 {"targets_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.targets_age()).count()},
                 {"platform_calls", this->platform.store->calls()},
                 {"caller_connections", this->callers.connections()},
+                {"body_memory_bytes", this->body_memory.reserved()},
+                {"body_memory_capacity_bytes", this->body_memory.capacity()},
                 {"log_lines_dropped", this->log.dropped()},
                 {"known_instances", this->members.size()},
                 {"leaders", std::move(leaders)},
--- a/src/mangopulley/gateway/gateway_settings.cpp
+++ b/src/mangopulley/gateway/gateway_settings.cpp
@@ -14,6 +14,8 @@
 constexpr double max_seconds = 3'600.0;
 constexpr double max_real_value = 1'000'000.0;
 constexpr std::size_t max_seeds = 64U;
+constexpr std::uint64_t min_memory_mb = 16U;
+constexpr std::uint64_t max_memory_mb = 1'000'000U;
 
 template <duration gateway_settings::*Member>
 [[nodiscard]] result<void> read_seconds(const yaml_value& value, gateway_settings& target) {
@@ -28,14 +30,19 @@
     return {};
 }
 
+[[nodiscard]] result<void> read_memory(const yaml_value& value, gateway_settings& target) {
+    return value.read(target.memory_mb, min_memory_mb, max_memory_mb);
+}
+
 [[nodiscard]] result<void> read_gateway_instance(const yaml_value& value, gateway_settings& target) {
-    static constexpr std::array<yaml_field<gateway_settings>, 6U> fields{
+    static constexpr std::array<yaml_field<gateway_settings>, 7U> fields{
         {{"name", true, read_identifier<&gateway_settings::instance_name>},
          {"ip", true, read_ip<&gateway_settings::ip>},
          {"zone", true, read_identifier<&gateway_settings::zone>},
          {"region", true, read_identifier<&gateway_settings::region>},
          {"cpu_share", false, read_real<&gateway_settings::cpu_share>},
-         {"cpu_cores", false, read_real<&gateway_settings::cpu_cores>}}};
+         {"cpu_cores", false, read_real<&gateway_settings::cpu_cores>},
+         {"memory_mb", false, read_memory}}};
     return value.read_map(target, fields);
 }
 
--- a/src/mangopulley/gateway/gateway_settings.hpp
+++ b/src/mangopulley/gateway/gateway_settings.hpp
@@ -19,6 +19,8 @@
     /*! @brief CPU share in cores, and the speed of such a core relative to a usual one. */
     double cpu_share{1.0};
     double cpu_cores{1.0};
+    /*! @brief Memory that the process may use in MB; an eighth of it is for request bodies. */
+    std::uint64_t memory_mb{256U};
     /*! @brief Addresses to listen on, `ip:port`: callers, readiness, directory, operators; and the port for other
      * instances. */
     std::string caller_endpoint{};
--- a/src/mangopulley/gateway/load_prober.cpp
+++ b/src/mangopulley/gateway/load_prober.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Health responses are empty or short; anything longer is no health response.
+constexpr std::size_t longest_probe_response = 4'096U;
+
 struct open_probe {
     std::string target{};
     std::string endpoint{};
@@ -79,8 +82,16 @@
         outcome.failure = network_error::code::timed_out;
         state.finish(probe_id, std::move(outcome));
     });
-    probe.channel->send(health_request(path, target.endpoint), false, {},
-                        [&state, probe_id](exchange_outcome&& outcome) { state.finish(probe_id, std::move(outcome)); });
+    const auto head = health_request(path, target.endpoint);
+    outgoing_request request{};
+    request.head = head;
+    request.longest_held_response = internal::longest_probe_response;
+    probe.channel->send(request, {}, [&state, probe_id](exchange_outcome&& outcome) {
+        if (outcome.body_follows) {
+            outcome.failure = network_error::code::malformed;
+        }
+        state.finish(probe_id, std::move(outcome));
+    });
 }
 
 std::uint64_t load_prober::sent() const noexcept {
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -52,6 +52,8 @@
     std::vector<std::string> tried_targets{};
     std::vector<attempt> open_attempts{};
     std::vector<std::shared_ptr<queue_entry>> queue_entries{};
+    /*! @brief Whether a part of the body that is no longer held went to a target; the request cannot be sent again. */
+    bool body_passed_on{};
     /*! @brief Whether a target may have executed the request. */
     bool may_have_executed{};
     bool finished{};
--- a/src/mangopulley/http/body_decoder.hpp
+++ b/src/mangopulley/http/body_decoder.hpp
@@ -9,7 +9,11 @@
 
 namespace mangopulley {
 
-/*! @brief Takes the body of one HTTP/1.1 message out of a stream of bytes (RFC 9112, sections 6 and 7). */
+/**
+ * @brief Takes the body of one HTTP/1.1 message out of a stream of bytes (RFC 9112, sections 6 and 7).
+ *
+ * Chunk extensions and trailer fields are dropped; a body with too many bytes of them counts as malformed.
+ */
 class body_decoder {
 public:
     /*! @brief How the end of the body is found. */
@@ -30,7 +34,7 @@
     /**
      * @brief Takes bytes of the body.
      * @param bytes Received bytes; those taken are removed from its front.
-     * @param body Receives the decoded bytes.
+     * @param body Receives the decoded bytes; earlier ones may be taken out of it between two calls.
      * @return What the body amounts to now.
      */
     [[nodiscard]] state feed(std::string_view& bytes, std::string& body);
@@ -39,17 +43,25 @@
     [[nodiscard]] bool ends_with_connection() const noexcept { return this->form == framing::until_close; }
 
 private:
-    enum class part : std::uint8_t { size, data, data_end, trailer };
+    enum class part : std::uint8_t { size, data, data_end, trailer, end };
 
     [[nodiscard]] state feed_chunks(std::string_view& bytes, std::string& body);
     [[nodiscard]] state read_size(std::string_view& bytes);
+    [[nodiscard]] state read_data_end(std::string_view& bytes);
+    [[nodiscard]] state read_trailer(std::string_view& bytes);
     [[nodiscard]] state take_data(std::string_view& bytes, std::string& body);
-    /*! @brief Collects a line into `line`; returns false while its end has not arrived. */
-    [[nodiscard]] bool take_line(std::string_view& bytes);
+    /*! @brief Collects a line into `line`; complete when its end has arrived. */
+    [[nodiscard]] state take_line(std::string_view& bytes);
+    /*! @brief Counts bytes of a chunk extension or a trailer field; returns whether they stay within the limit. */
+    [[nodiscard]] bool count_dropped(std::size_t bytes) noexcept;
 
     framing form{framing::none};
     std::size_t remaining{};
     std::size_t longest{};
+    /*! @brief Number of decoded bytes of the whole body so far. */
+    std::size_t decoded{};
+    /*! @brief Number of bytes of chunk extensions and trailer fields so far. */
+    std::size_t dropped{};
     part next{part::size};
     std::string line{};
 };
--- a/src/mangopulley/http/http_channel.hpp
+++ b/src/mangopulley/http/http_channel.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "../loop/event_loop.hpp"
 #include "../loop/stream.hpp"
+#include "body_part.hpp"
 #include "fwd.hpp"
 #include "response_parser.hpp"
 
@@ -22,7 +24,24 @@
     bool sent{};
     /*! @brief Whether the channel may carry another request. */
     bool reusable{};
+    /*! @brief Response; its body is the beginning only when `body_follows`. */
     http_response response{};
+    /*! @brief Whether the rest of the body is to be read with `http_channel::read_body`. */
+    bool body_follows{};
+};
+
+/*! @brief Request to send on a channel. */
+struct outgoing_request {
+    /*! @brief Request line and header fields with the empty line. */
+    std::string_view head{};
+    /*! @brief Body with its framing, or the beginning of it when `body_follows`. */
+    std::string_view body{};
+    /*! @brief Whether the rest of the body is sent with `http_channel::send_body`. */
+    bool body_follows{};
+    /*! @brief Whether the response has no body whatever its headers say, as for HEAD. */
+    bool bodiless{};
+    /*! @brief Longest response body in bytes that is received whole; a longer one is passed on in parts. */
+    std::size_t longest_held_response{std::numeric_limits<std::size_t>::max()};
 };
 
 /**
@@ -57,6 +76,33 @@
      */
     void send(std::string_view request, bool bodiless, response_filter filter, completion done);
 
+    /**
+     * @brief Sends a request whose body, and whose response, may be passed on in parts.
+     * @param request Request; its bytes are copied as far as the connection does not accept them at once.
+     * @param filter Accepts the response; empty to accept any.
+     * @param done Called once, never before this call returns, when the response has arrived or its body is longer than
+     * what is held; the channel may be destroyed inside it.
+     */
+    void send(const outgoing_request& request, response_filter filter, completion done);
+    /**
+     * @brief Sends the next part of the request's body.
+     * @param bytes Bytes with their framing.
+     * @param last Whether the body ends with them.
+     */
+    void send_body(std::string_view bytes, bool last);
+    /*! @brief Sets the function called when the operating system has accepted all bytes sent so far. */
+    void on_sent(std::function<void()> listener);
+    /*! @brief Returns whether all bytes sent so far were accepted by the operating system. */
+    [[nodiscard]] bool all_sent() const noexcept;
+    /*! @brief Returns whether the whole request was passed to `send` and `send_body`. */
+    [[nodiscard]] bool request_complete() const noexcept;
+
+    /**
+     * @brief Reads the next part of a response's body after `exchange_outcome::body_follows`.
+     * @param reader Called once, possibly before this call returns; the channel may be destroyed inside it.
+     */
+    void read_body(body_reader reader);
+
     /*! @brief Tells whether an exchange can start: open or not yet opened, and not used by another. */
     [[nodiscard]] bool available() const noexcept;
     /*! @brief Tells whether the connection was opened before. */
--- a/src/mangopulley/http/http_message.hpp
+++ b/src/mangopulley/http/http_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,9 +14,10 @@
 
 namespace mangopulley {
 
-/*! @brief Whole request as received from a caller or an operator. */
+/*! @brief Request as received from a caller or an operator. */
 struct http_request {
     Poco::Net::HTTPRequest head{};
+    /*! @brief Body, or its beginning where the rest is read in parts. */
     std::string body{};
     /*! @brief When the first byte arrived. */
     time_point received{};
@@ -59,8 +61,10 @@
     std::size_t most_headers{100U};
     /*! @brief Whether bodies may come in chunks, and requests without a length count as having no body. */
     bool accept_chunked{};
+    /*! @brief Longest body that is received whole before the request is handled; longer ones are handled in parts. */
+    std::size_t longest_held_body{std::numeric_limits<std::size_t>::max()};
     std::size_t most_connections{4'000U};
-    /*! @brief Longest time from the first byte of a request to its last. */
+    /*! @brief Longest time from the first byte of a request to its last; a body held whole has more, by its size. */
     milliseconds longest_receive{5'000};
     /*! @brief Longest time that a connection may stay idle between two requests. */
     milliseconds longest_idle{60'000};
--- a/src/mangopulley/http/request_parser.cpp
+++ b/src/mangopulley/http/request_parser.cpp
@@ -82,27 +82,25 @@
         if (end == std::string::npos || end > this->bounds.longest_head) {
             return this->reject(431, "request head too long");
         }
-        this->head_size = end + internal::head_end.size();
-        const std::string_view head{this->buffer.data(), this->head_size};
+        const auto head_size = end + internal::head_end.size();
+        const std::string_view head{this->buffer.data(), head_size};
         if (!this->head_is_well_formed(head) || !this->parse_head(head) || !this->read_framing()) {
             return state::rejected;
         }
         this->head_done = true;
-        this->continue_expected =
-            this->request.head.get("Expect", "") == "100-continue" && this->buffer.size() == this->head_size;
+        this->buffer.erase(0U, head_size);
+        this->continue_expected = this->request.head.get("Expect", "") == "100-continue" && this->buffer.empty();
     }
-    if (this->chunked) {
-        return this->examine_chunks();
-    }
-    return this->buffer.size() >= this->head_size + this->body_size ? state::complete : state::incomplete;
+    return this->examine_body();
 }
 
-request_parser::state request_parser::examine_chunks() {
-    auto rest = std::string_view{this->buffer}.substr(this->head_size);
-    const auto done = this->chunks.feed(rest, this->request.body);
-    this->buffer.erase(this->head_size, this->buffer.size() - this->head_size - rest.size());
+request_parser::state request_parser::examine_body() {
+    std::string_view rest{this->buffer};
+    const auto done = this->body_done ? body_decoder::state::complete : this->body.feed(rest, this->request.body);
+    this->buffer.erase(0U, this->buffer.size() - rest.size());
     switch (done) {
     case body_decoder::state::complete:
+        this->body_done = true;
         return state::complete;
     case body_decoder::state::incomplete:
         return state::incomplete;
@@ -188,8 +186,8 @@
         static_cast<void>(this->reject(400, "transfer coding not supported"));
         return false;
     }
-    this->chunks = body_decoder{body_decoder::framing::chunked, 0U, this->bounds.longest_body};
-    this->chunked = true;
+    this->length.reset();
+    this->body = body_decoder{body_decoder::framing::chunked, 0U, this->bounds.longest_body};
     return true;
 }
 
@@ -199,11 +197,12 @@
         return this->begin_chunks();
     }
     std::size_t lengths = 0U;
+    std::size_t bytes = 0U;
     for (const auto& [name, value] : head) {
         if (Poco::icompare(name, "Content-Length") != 0) {
             continue;
         }
-        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), this->body_size);
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), bytes);
         if (++lengths > 1U || parsed.ec != std::errc{} || parsed.ptr != value.data() + value.size()) {
             static_cast<void>(this->reject(400, "contradictory or malformed Content-Length"));
             return false;
@@ -213,23 +212,34 @@
         static_cast<void>(this->reject(411, "a request body needs a Content-Length"));
         return false;
     }
-    if (this->body_size > this->bounds.longest_body) {
+    if (bytes > this->bounds.longest_body) {
         static_cast<void>(this->reject(413, "request body too long"));
         return false;
     }
+    this->length = bytes;
+    this->body = body_decoder{body_decoder::framing::length, bytes, this->bounds.longest_body};
     return true;
 }
 
+void request_parser::begin_next() noexcept {
+    this->head_done = false;
+    this->head_taken = false;
+    this->body_done = false;
+}
+
 http_request request_parser::take() {
-    if (!this->chunked) {
-        this->request.body = this->buffer.substr(this->head_size, this->body_size);
+    this->head_taken = true;
+    if (this->body_done) {
+        this->begin_next();
     }
-    this->buffer.erase(0U, this->head_size + this->body_size);
-    this->chunked = false;
-    this->head_size = 0U;
-    this->body_size = 0U;
-    this->head_done = false;
     return std::exchange(this->request, http_request{});
 }
 
+std::string request_parser::take_body() {
+    if (this->body_done) {
+        this->begin_next();
+    }
+    return std::exchange(this->request.body, std::string{});
+}
+
 } // namespace mangopulley
--- a/src/mangopulley/http/response_parser.cpp
+++ b/src/mangopulley/http/response_parser.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::string_view response_head_end = "\r\n\r\n";
 constexpr std::size_t longest_response_head = 65'536U;
+// Bounds a peer that sends interim responses without end.
+constexpr std::size_t max_interim_responses = 16U;
 constexpr int first_final_status = 200;
 constexpr int last_status = 599;
 
@@ -97,33 +99,33 @@
     return true;
 }
 
-response_parser::state response_parser::examine() {
-    if (this->failed) {
-        return state::malformed;
-    }
+response_parser::state response_parser::examine_head() {
     while (!this->head_done) {
         const auto read = this->read_head();
         if (read != state::complete) {
-            this->failed = read == state::malformed;
             return read;
         }
         const int status = this->response.status();
         if (status >= internal::first_final_status) {
             if (status > internal::last_status || !this->choose_framing()) {
-                this->failed = true;
                 return state::malformed;
             }
             this->head_done = true;
-        } else if (status == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS) {
-            this->failed = true;
+        } else if (status == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS ||
+                   ++this->interim > internal::max_interim_responses) {
             return state::malformed;
         }
     }
+    return state::complete;
+}
+
+response_parser::state response_parser::examine_body() {
     std::string_view rest{this->buffer};
-    const auto done = this->body.feed(rest, this->response.body);
+    const auto done = this->body_done ? body_decoder::state::complete : this->body.feed(rest, this->response.body);
     this->buffer.erase(0U, this->buffer.size() - rest.size());
     switch (done) {
     case body_decoder::state::complete:
+        this->body_done = true;
         return state::complete;
     case body_decoder::state::incomplete:
         return state::incomplete;
@@ -131,21 +133,50 @@
     case body_decoder::state::too_long:
         break;
     }
-    this->failed = true;
     return state::malformed;
 }
 
+response_parser::state response_parser::examine() {
+    if (this->failed) {
+        return state::malformed;
+    }
+    auto present = this->examine_head();
+    if (present == state::complete) {
+        present = this->examine_body();
+    }
+    this->failed = present == state::malformed;
+    return present;
+}
+
 response_parser::state response_parser::finish(const bool broken) {
     const auto present = this->examine();
     if (present == state::incomplete && this->head_done && !broken && this->body.ends_with_connection()) {
+        this->body_done = true;
         return state::complete;
     }
     return present == state::complete ? present : state::malformed;
 }
 
-http_response response_parser::take() {
+void response_parser::begin_next() noexcept {
+    this->interim = 0U;
     this->head_done = false;
+    this->head_taken = false;
+    this->body_done = false;
+}
+
+http_response response_parser::take() {
+    this->head_taken = true;
+    if (this->body_done) {
+        this->begin_next();
+    }
     return std::exchange(this->response, http_response{});
 }
 
+std::string response_parser::take_body() {
+    if (this->body_done) {
+        this->begin_next();
+    }
+    return std::exchange(this->response.body, std::string{});
+}
+
 } // namespace mangopulley
--- a/src/mangopulley/loop/stream.cpp
+++ b/src/mangopulley/loop/stream.cpp
@@ -27,7 +27,8 @@
 // Sent bytes are dropped from the front of the buffer in pieces of at least this size.
 constexpr std::size_t min_compaction_bytes = 65'536U;
 
-/*! @brief Returns whether the socket merely cannot take or deliver bytes now; POCO reports that of a send as an error. */
+/*! @brief Returns whether the socket merely cannot take or deliver bytes now; POCO reports that of a send as an error.
+ */
 [[nodiscard]] bool is_temporary(const Poco::Exception& error) noexcept {
     return dynamic_cast<const Poco::TimeoutException*>(&error) != nullptr || error.code() == POCO_EWOULDBLOCK ||
            error.code() == POCO_EAGAIN || error.code() == POCO_EINTR;
@@ -274,6 +275,14 @@
     }
 }
 
+void stream::reset_on_close() noexcept {
+    try {
+        this->self->socket.setLinger(true, 0);
+    } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+        // The connection has failed already.
+    }
+}
+
 struct stream_listener::implementation {
     event_loop& loop;
     Poco::Net::ServerSocket socket{};
--- a/src/mangopulley/loop/stream.hpp
+++ b/src/mangopulley/loop/stream.hpp
@@ -68,6 +68,8 @@
     void pause_reading(bool paused);
     /*! @brief Shuts down the sending side; reading continues. */
     void finish_sending() noexcept;
+    /*! @brief Makes the close of the connection a reset, which no peer takes for the regular end of a message. */
+    void reset_on_close() noexcept;
 
 private:
     struct implementation;
--- a/test/fake/loopback_target.hpp
+++ b/test/fake/loopback_target.hpp
@@ -56,8 +56,9 @@
 private:
     void accept(const Poco::Net::StreamSocket& socket) {
         ++this->accepted;
-        auto item =
-            std::make_shared<connection>(connection{nullptr, mangopulley::request_parser{mangopulley::http_limits{}}});
+        mangopulley::http_limits limits{};
+        limits.accept_chunked = true;
+        auto item = std::make_shared<connection>(connection{nullptr, mangopulley::request_parser{limits}});
         mangopulley::stream::events events{};
         std::weak_ptr<connection> held = item;
         events.received = [this, held](const std::string_view bytes) {
--- a/test/fuzz/input_case.cpp
+++ b/test/fuzz/input_case.cpp
@@ -73,10 +73,46 @@
     return seen;
 }
 
+/*! @brief Describes the same requests as `describe_requests`, with each body taken out in parts while it arrives. */
+[[nodiscard]] std::string describe_requests_in_parts(const std::vector<std::string>& pieces) {
+    http_limits limits{};
+    limits.longest_head = 2'048U;
+    limits.longest_body = longest_body;
+    limits.accept_chunked = true;
+    request_parser parser{limits};
+    std::string seen{};
+    std::string request{};
+    for (const auto& piece : pieces) {
+        parser.append(piece);
+        auto state = parser.examine();
+        for (std::size_t messages = 0U; parser.started() && messages < most_messages; ++messages) {
+            if (parser.head_complete()) {
+                const auto head = parser.take();
+                request = head.head.getMethod() + ' ' + head.path + ' ' + head.body;
+            } else {
+                request += parser.take_body();
+            }
+            if (state != request_parser::state::complete) {
+                break;
+            }
+            seen += request + '\n';
+            state = parser.examine();
+        }
+        if (state == request_parser::state::rejected) {
+            return seen + "rejected";
+        }
+    }
+    return seen;
+}
+
 [[nodiscard]] std::string check_request(const std::string& input, mutator& chance) {
     const auto whole = describe_requests(cut(input, chance, true));
     const auto pieces = describe_requests(cut(input, chance, false));
-    return whole == pieces ? std::string{} : "pieces give other requests: " + whole + " / " + pieces;
+    if (whole != pieces) {
+        return "pieces give other requests: " + whole + " / " + pieces;
+    }
+    const auto parts = describe_requests_in_parts(cut(input, chance, false));
+    return whole == parts ? std::string{} : "bodies in parts give other requests: " + whole + " / " + parts;
 }
 
 [[nodiscard]] std::string describe_responses(const std::vector<std::string>& pieces) {
@@ -105,10 +141,48 @@
     return seen;
 }
 
+/*! @brief Describes the same responses as `describe_responses`, with each body taken out in parts while it arrives. */
+[[nodiscard]] std::string describe_responses_in_parts(const std::vector<std::string>& pieces) {
+    response_parser parser{longest_body};
+    std::string seen{};
+    std::string response{};
+    bool open = false;
+    for (const auto& piece : pieces) {
+        parser.append(piece);
+        auto state = parser.examine();
+        for (std::size_t messages = 0U; parser.started() && messages < most_messages; ++messages) {
+            if (parser.head_complete()) {
+                const auto head = parser.take();
+                response = std::to_string(head.status()) + ' ' + head.body;
+                open = true;
+            } else if (open) {
+                response += parser.take_body();
+            }
+            if (state != response_parser::state::complete) {
+                break;
+            }
+            seen += response + '\n';
+            open = false;
+            state = parser.examine();
+        }
+        if (state == response_parser::state::malformed) {
+            return seen + "malformed";
+        }
+    }
+    if (parser.finish(false) == response_parser::state::complete) {
+        seen += "until the end " + response + parser.take_body();
+    }
+    return seen;
+}
+
 [[nodiscard]] std::string check_response(const std::string& input, mutator& chance) {
     const auto whole = describe_responses(cut(input, chance, true));
     const auto pieces = describe_responses(cut(input, chance, false));
-    return whole == pieces ? std::string{} : "pieces give other responses: " + whole + " / " + pieces;
+    if (whole != pieces) {
+        return "pieces give other responses: " + whole + " / " + pieces;
+    }
+    const auto parts = describe_responses_in_parts(cut(input, chance, false));
+    return whole == parts ? std::string{} : "bodies in parts give other responses: " + whole + " / " + parts;
 }
 
 /*! @brief Checks that what was decoded says the same after it was passed on to another instance. */
--- a/test/integration/gateway_platform.cpp
+++ b/test/integration/gateway_platform.cpp
@@ -40,12 +40,13 @@
 constexpr int peer_port_number = 4;
 constexpr milliseconds work_time{30};
 constexpr milliseconds bound{2'000};
+constexpr std::size_t body_memory_bytes = 1'000'000U;
 
 /*! @brief Platform's store on a loopback port: two kinds of objects, read only. */
 class object_store {
 public:
     explicit object_store(event_loop& loop)
-        : port{loop, "127.0.0.1:0", [] { return http_limits{}; },
+        : port{loop, "127.0.0.1:0", this->memory, [] { return http_limits{}; },
                [this](const std::shared_ptr<http_server_exchange>& exchange) { this->answer(exchange); }} {}
 
     [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->port.port()); }
@@ -113,6 +114,7 @@
     std::uint64_t revision{};
     json config{};
     std::map<std::string, json> targets{};
+    memory_budget memory{body_memory_bytes};
     async_http_server port;
 };
 
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -6,8 +7,10 @@
 
 #include <fake/loopback_target.hpp>
 #include <fake/plain_dialect.hpp>
+#include <fake/raw_peer.hpp>
 #include <mangopulley/gateway/async_http_server.hpp>
 #include <mangopulley/gateway/forwarder.hpp>
+#include <mangopulley/http/chunk.hpp>
 #include <mangopulley/http/http_channel.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -21,6 +24,10 @@
 
 using connection = loopback_target::connection;
 
+constexpr std::size_t body_memory_bytes = 8'000'000U;
+constexpr std::size_t longest_held_body = 200'000U;
+constexpr std::size_t long_body_bytes = 900'000U;
+
 /*! @brief Result of a caller's request. */
 struct caller_result {
     std::optional<network_error_code> failure{};
@@ -40,6 +47,7 @@
     metrics metric_sink{time};
     decision_log log{"test", time, 1'000.0};
     std::unique_ptr<forwarder> subject{};
+    memory_budget memory{body_memory_bytes};
     std::unique_ptr<async_http_server> server{};
     std::vector<std::unique_ptr<loopback_target>> targets{};
     std::vector<std::unique_ptr<http_channel>> callers{};
@@ -50,8 +58,10 @@
         subject->configure(retry_limits{0.2, 1'000.0, seconds{10}}, 1U, 1'000.0);
         http_limits limits{};
         limits.accept_chunked = true;
+        limits.longest_body = 64'000'000U;
+        limits.longest_held_body = longest_held_body;
         server = std::make_unique<async_http_server>(
-            loop, "127.0.0.1:0", [limits] { return limits; },
+            loop, "127.0.0.1:0", memory, [limits] { return limits; },
             [this](const auto& exchange) { subject->handle(exchange); });
     }
 
@@ -112,7 +122,7 @@
                                                 const std::string& fields, const std::string& body = {}) {
         auto result = std::make_shared<caller_result>();
         callers.push_back(std::make_unique<http_channel>(loop, "127.0.0.1:" + std::to_string(server->port()),
-                                                         stream_timing{}, 1'000'000U));
+                                                         stream_timing{}, 64'000'000U));
         callers.back()->send(method + " " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body, false, {},
                              [result](exchange_outcome&& outcome) {
                                  result->failure = outcome.failure;
@@ -356,3 +366,211 @@
     }
     CHECK_TRUE(target.accepted <= 2);
 }
+
+// Bodies and responses that are too long to be held.
+
+TEST_GROUP_BASE(forwarder_in_parts, TEST_GROUP_CppUTestGroupforwarder) {
+    std::unique_ptr<fake::raw_peer> peer{};
+
+    void teardown() override {
+        TEST_GROUP_CppUTestGroupforwarder::teardown();
+        peer.reset();
+    }
+
+    /*! @brief Lists a target of which the test reads and writes the raw bytes. */
+    void list_raw_target() {
+        peer = std::make_unique<fake::raw_peer>(loop, false);
+        listed_target listing{};
+        listing.id = "raw";
+        listing.service = "proof";
+        listing.endpoint = peer->endpoint();
+        listing.slots = 2U;
+        subject->update_targets({1U, {listing}});
+    }
+
+    /*! @brief Returns the number of connections with a caller's request; others carry probes. */
+    [[nodiscard]] std::size_t requests() const {
+        return static_cast<std::size_t>(std::count_if(peer->connections.begin(), peer->connections.end(), is_request));
+    }
+
+    static bool is_request(const std::shared_ptr<fake::raw_peer::connection>& connection) {
+        return connection->received.starts_with("PUT /put") || connection->received.starts_with("GET /get");
+    }
+
+    /*! @brief Waits for a caller's request and returns its connection. */
+    fake::raw_peer::connection& first_connection() {
+        await([this] { return requests() > 0U; });
+        return **std::find_if(peer->connections.begin(), peer->connections.end(), is_request);
+    }
+
+    std::shared_ptr<caller_result> upload(const std::string& body, const std::size_t length = long_body_bytes) {
+        return send_request("PUT", "/put/a", "X-Id: 1\r\nContent-Length: " + std::to_string(length) + "\r\n", body);
+    }
+
+    static std::string response_head(const std::string& fields) {
+        return "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\n" + fields + "\r\n";
+    }
+};
+
+// Guards against a long upload that is altered on its way, with either framing.
+TEST(forwarder_in_parts, forwards_a_long_body_unchanged) {
+    configure(seconds{8});
+    auto& target = add_target(respond_with(200, "whole"));
+    const auto text = fake::numbered_text(long_body_bytes);
+    for (const bool chunked : {false, true}) {
+        std::string body{};
+        if (chunked) {
+            append_chunk(body, {text, body_part::state::last});
+        }
+        const auto result = request_and_wait(
+            "PUT", "/put/a",
+            std::string{"X-Id: 1\r\n"} + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: 900000") + "\r\n",
+            chunked ? body : text);
+        LONGS_EQUAL(200, result.status);
+        STRCMP_EQUAL("whole", result.body.c_str());
+        CHECK_TRUE(target.received.back().body == text);
+    }
+    LONGS_EQUAL(2, target.received.size());
+    LONGS_EQUAL(0, memory.reserved());
+}
+
+// Guards against unbounded memory while targets read slowly: the callers are slowed down instead.
+TEST(forwarder_in_parts, slows_the_caller_of_a_slow_target) {
+    configure(seconds{8});
+    list_raw_target();
+    peer->on_bytes = [](fake::raw_peer::connection& from) { from.bytes->pause_reading(true); };
+    constexpr std::size_t length = 32'000'000U;
+    const auto result = upload(std::string(length, 'x'), length);
+    for (int turn = 0; turn < 200; ++turn) {
+        loop.turn(milliseconds{1});
+    }
+    CHECK_TRUE(memory.reserved() <= 2U * longest_held_body);
+    auto& connection = first_connection();
+    peer->on_bytes = {};
+    connection.bytes->pause_reading(false);
+    await([&] { return connection.received.size() > length; });
+    connection.bytes->send(response_head("Content-Length: 0\r\n"));
+    await([&] { return result->status == 200; });
+}
+
+// Guards against a second run of an upload, and against a false statement that it did not run, when its target breaks
+// off.
+TEST(forwarder_in_parts, reports_an_upload_whose_target_breaks_off_as_unknown) {
+    configure(seconds{8});
+    list_raw_target();
+    const auto result = upload(std::string(400'000U, 'x'));
+    auto& connection = first_connection();
+    await([&] { return connection.received.size() > longest_held_body; });
+    connection.bytes.reset();
+    await([&] { return result->status != 0; });
+    LONGS_EQUAL(502, result->status);
+    LONGS_EQUAL(1, requests());
+}
+
+// Guards against an upload that is completed, or sent again, after its caller left in the middle of the body.
+TEST(forwarder_in_parts, never_completes_a_body_whose_caller_left) {
+    configure(seconds{8});
+    list_raw_target();
+    upload(std::string(400'000U, 'x'));
+    auto& connection = first_connection();
+    await([&] { return connection.received.size() > longest_held_body; });
+    callers.clear();
+    await([&] { return connection.closed; });
+    LONGS_EQUAL(0, subject->open_requests());
+    CHECK_TRUE(connection.received.size() < long_body_bytes);
+    LONGS_EQUAL(1, requests());
+    LONGS_EQUAL(0, memory.reserved());
+}
+
+// Guards against a caller that stalls in the middle of a body and so holds a target and the request for ever.
+TEST(forwarder_in_parts, ends_a_stalled_upload_at_the_time_limit) {
+    configure(milliseconds{200});
+    list_raw_target();
+    const auto result = upload(std::string(400'000U, 'x'));
+    await([&] { return result->status != 0; });
+    LONGS_EQUAL(504, result->status);
+    await([this] { return first_connection().closed; });
+    LONGS_EQUAL(0, subject->open_requests());
+}
+
+// Guards against the rest of a body reaching a target as a next request after an early response.
+TEST(forwarder_in_parts, forwards_an_early_response) {
+    configure(seconds{8});
+    list_raw_target();
+    const auto result = upload(std::string(400'000U, 'x'));
+    auto& connection = first_connection();
+    await([&] { return connection.received.size() > longest_held_body; });
+    connection.bytes->send("HTTP/1.1 413 Long\r\nX-Id: 1\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nearly");
+    await([&] { return result->status != 0; });
+    LONGS_EQUAL(413, result->status);
+    STRCMP_EQUAL("early", result->body.c_str());
+    await([&] { return connection.closed; });
+    CHECK_TRUE(connection.received.size() < long_body_bytes);
+}
+
+// Guards against refusing an upload that another target could execute: its beginning is still held.
+TEST(forwarder_in_parts, retries_an_upload_while_its_body_is_held) {
+    configure(seconds{8});
+    list_raw_target();
+    const auto text = fake::numbered_text(long_body_bytes);
+    const auto result = upload(text.substr(0U, longest_held_body + 1U));
+    auto& connection = first_connection();
+    await([&] { return connection.received.size() > longest_held_body; });
+    auto& other = add_target(respond_with(200, "other"));
+    connection.bytes->send("HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    await([&] { return connection.closed; });
+    callers.back()->send_body(text.substr(longest_held_body + 1U), true);
+    await([&] { return result->status != 0; });
+    LONGS_EQUAL(200, result->status);
+    CHECK_TRUE(other.received.front().body == text);
+}
+
+// Guards against a long response that is altered on its way, or held whole in memory.
+TEST(forwarder_in_parts, forwards_a_long_response_unchanged) {
+    configure(seconds{8});
+    const auto text = fake::numbered_text(4'000'000U);
+    add_target(respond_with(200, text));
+    const auto result = request_and_wait("GET", "/get/a");
+    LONGS_EQUAL(200, result.status);
+    CHECK_TRUE(result.body == text);
+    CHECK_TRUE(result.stamped);
+    LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 2\r\nContent-Length: 1\r\n", "x").status);
+    CHECK_TRUE_TEXT(targets[0]->accepted <= 2, "the connection is used again after a response in parts");
+    LONGS_EQUAL(0, subject->open_requests());
+}
+
+// Guards against a response that looks complete though its target broke off, with any framing.
+TEST(forwarder_in_parts, cuts_a_response_whose_target_breaks_off) {
+    configure(seconds{8});
+    for (const std::string framing : {"Content-Length: 4000000\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        list_raw_target();
+        const auto result = send_request("GET", "/get/a", "X-Id: 1\r\n");
+        auto& connection = first_connection();
+        await([&] { return !connection.received.empty(); });
+        connection.bytes->send(response_head(framing) + "3d0900\r\n" + std::string(600'000U, 'x'));
+        await([&] { return connection.bytes->unsent() == 0U; });
+        connection.bytes.reset();
+        await([&] { return result->status != 0; });
+        LONGS_EQUAL(-1, result->status);
+        LONGS_EQUAL(0, subject->open_requests());
+    }
+}
+
+// Guards against a target whose response never ends: the caller waits no longer than its time limit, and what it gets
+// does not look complete.
+TEST(forwarder_in_parts, cuts_a_response_without_end_at_the_time_limit) {
+    configure(milliseconds{300});
+    list_raw_target();
+    const auto result = send_request("GET", "/get/a", "X-Id: 1\r\n");
+    auto& connection = first_connection();
+    await([&] { return !connection.received.empty(); });
+    connection.bytes->send(response_head("Connection: close\r\n"));
+    await([&] {
+        if (connection.bytes && connection.bytes->unsent() == 0U) {
+            connection.bytes->send(std::string(10'000U, 'x'));
+        }
+        return result->status != 0;
+    });
+    LONGS_EQUAL(-1, result->status);
+    await([&] { return connection.closed; });
+}
--- a/test/mangopulley/loop/stream.cpp
+++ b/test/mangopulley/loop/stream.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 #include <string>
 
+#include <fake/raw_peer.hpp>
 #include <mangopulley/loop/event_loop.hpp>
 #include <mangopulley/loop/stream.hpp>
 
@@ -15,16 +16,6 @@
 
 constexpr std::size_t megabyte = 1'000'000U;
 
-/*! @brief Returns a text without repetitions at the size of any buffer, so that lost or doubled bytes are noticed. */
-[[nodiscard]] std::string numbered_text(const std::size_t size) {
-    std::string text{};
-    for (std::size_t number = 0U; text.size() < size; ++number) {
-        text.append(std::to_string(number)).append(",");
-    }
-    text.resize(size);
-    return text;
-}
-
 } // namespace
 
 TEST_GROUP(stream) {
@@ -79,7 +70,7 @@
 
 // Guards against a connection that is given up because its peer reads slowly: a full socket buffer is no error.
 TEST(stream, waits_while_the_socket_buffer_is_full) {
-    const auto text = numbered_text(8U * megabyte);
+    const auto text = fake::numbered_text(8U * megabyte);
     sender->send(text);
     for (int turn = 0; turn < 20; ++turn) {
         loop.turn(milliseconds{1});
@@ -95,7 +86,7 @@
 
 // Guards against bytes that are lost, doubled or reordered when more is sent while the socket buffer is full.
 TEST(stream, keeps_the_order_of_bytes_sent_while_the_socket_buffer_is_full) {
-    const auto text = numbered_text(8U * megabyte);
+    const auto text = fake::numbered_text(8U * megabyte);
     constexpr std::size_t piece = 100'003U;
     for (std::size_t offset = 0U; offset < text.size(); offset += piece) {
         sender->send(std::string_view{text}.substr(offset, piece));
