Let callers return at once when targets with free slots rejected them

Cause: a 503 after rejections told callers to wait 100 ms at least. Where the targets' load reports show free slots, that wait gains nothing, and the caller comes back too late for its latency goal.

Change: Retry-After is 10 ms at least if every target that rejected the request reported a free slot, and 100 ms as before otherwise.

A new test failed before.

--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint32_t max_failed_connects = 4U;
 constexpr int misdirected_request_status = 421;
 constexpr duration prune_period{std::chrono::milliseconds{500}};
+constexpr duration full_target_retry_after{std::chrono::milliseconds{100}};
+// A target that rejects requests although it has free slots may accept the next one at any time.
+constexpr duration free_target_retry_after{std::chrono::milliseconds{10}};
 // A response that breaks off while it is held can still be replaced by another attempt's.
 constexpr std::size_t longest_held_response = 131'072U;
 
@@ -267,6 +270,7 @@
             const bool misdirected = status == internal::misdirected_request_status;
             this->end_attempt(transaction->service, attempt,
                               misdirected ? send_outcome::unreachable : send_outcome::shed, metadata.load);
+            transaction->rejected_by_full_target |= !metadata.load || metadata.load->is_full();
             transaction->cause = misdirected ? "another_target" : "shed";
             if (this->acquire_retry(transaction)) {
                 this->enqueue(transaction);
@@ -326,8 +330,9 @@
             this->respond(transaction, {502, transaction->cause});
         } else {
             if (transaction->retry_after == duration::zero()) {
-                transaction->retry_after = std::max<duration>(this->services.expected_wait(transaction->service),
-                                                              std::chrono::milliseconds{100});
+                const auto shortest = transaction->rejected_by_full_target ? internal::full_target_retry_after
+                                                                           : internal::free_target_retry_after;
+                transaction->retry_after = std::max(this->services.expected_wait(transaction->service), shortest);
             }
             this->respond(transaction, {503, transaction->cause});
         }
--- a/src/mangopulley/gateway/load_reading.hpp
+++ b/src/mangopulley/gateway/load_reading.hpp
@@ -13,6 +13,9 @@
     std::uint32_t slots{};
     /*! @brief Slowdown of the target's host: current processing time as a multiple of the usual one. */
     double slowdown{1.0};
+
+    /*! @brief Returns whether another request would have to wait. */
+    [[nodiscard]] bool is_full() const noexcept { return this->waiting > 0U || this->running >= this->slots; }
 };
 
 } // namespace mangopulley
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -250,6 +250,27 @@
                      "no more attempts than the route allows");
 }
 
+// Guards against callers that come back too late to be served in time: a target that rejects requests with free slots
+// may accept the next one, while a full one needs time.
+TEST(forwarder, lets_callers_return_at_once_when_targets_reject_with_free_slots) {
+    configure();
+    const auto rejects = [](const std::string& load) {
+        return [load](connection& from, const http_request& request) {
+            from.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Id: " + request.head.get("X-Id") + "\r\n" + load +
+                       "Content-Length: 0\r\n\r\n");
+        };
+    };
+    add_target(rejects("X-Pace: 1\r\n"));
+    const auto free = request_and_wait("GET", "/get/a");
+    LONGS_EQUAL(503, free.status);
+    CHECK_TRUE(std::stod(free.retry_after) > 0.0 && std::stod(free.retry_after) <= 0.02);
+    targets.clear();
+    add_target(rejects(""));
+    const auto full = request_and_wait("GET", "/get/a");
+    LONGS_EQUAL(503, full.status);
+    CHECK_TRUE(std::stod(full.retry_after) >= 0.1);
+}
+
 // Guards against requests lost with a crashed target: no byte was sent, so any request may be retried elsewhere.
 TEST(forwarder, retries_elsewhere_when_the_connection_fails) {
     configure();
