Test uploads during a planned stop and a flood of uploads with real processes

Cause: nothing played a SIGTERM in the middle of a body, nor the memory of a process under many uploads. Change: two integration tests. An upload whose second part is sent 300 ms after the SIGTERM is completed and answered. 100 callers upload 8 MB each to one instance with 96 MB in its settings.

--- a/test/integration/gateway_platform.cpp
+++ b/test/integration/gateway_platform.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <fake/loopback_target.hpp>
+#include <fake/raw_peer.hpp>
 #include <fcntl.h>
 #include <mangopulley/core/clock.hpp>
 #include <mangopulley/gateway/async_http_server.hpp>
@@ -41,6 +42,7 @@
 constexpr milliseconds work_time{30};
 constexpr milliseconds bound{2'000};
 constexpr std::size_t body_memory_bytes = 1'000'000U;
+constexpr std::size_t memory_mb = 96U;
 
 /*! @brief Platform's store on a loopback port: two kinds of objects, read only. */
 class object_store {
@@ -73,7 +75,12 @@
                              {"latency_goal_s", 0.3},
                              {"attempts", 2},
                              {"service", "proof"}}}},
-                          {"services", {{{"name", "proof"}, {"health_path", "/health"}, {"max_conns", 220}}}}}}};
+                          {"services", {{{"name", "proof"}, {"health_path", "/health"}, {"max_conns", 220}}}},
+                          {"limits",
+                           {{"max_header_bytes", 16'384},
+                            {"max_body_bytes", 67'108'864},
+                            {"header_timeout_s", 3},
+                            {"idle_timeout_s", 15}}}}}};
     }
 
     void put_target(const std::string& id, const std::string& endpoint, const std::string& state) {
@@ -224,7 +231,8 @@
         const auto path = folder / ("instance" + std::to_string(index) + ".yaml");
         std::ofstream file{path};
         const auto own = ip(index);
-        file << "instance: {name: i" << index << ", ip: " << own << ", zone: z, region: r}\n"
+        file << "instance: {name: i" << index << ", ip: " << own << ", zone: z, region: r, memory_mb: " << memory_mb
+             << "}\n"
              << "listen: {callers: \"" << own << ":" << port(caller_port_number) << "\", readiness: \"" << own << ":"
              << port(readiness_port_number) << "\", directory: \"" << own << ":" << port(directory_port_number)
              << "\", operators: \"" << own << ":" << port(operator_port_number) << "\"}\n"
@@ -317,6 +325,18 @@
         pass(milliseconds{300});
     }
 
+    /*! @brief Returns the largest resident memory that a process has had, in MB. */
+    static std::size_t peak_memory_mb(const standin::process& process) {
+        std::ifstream status{"/proc/" + std::to_string(process.id()) + "/status"};
+        for (std::string line{}; std::getline(status, line);) {
+            if (line.starts_with("VmHWM:")) {
+                constexpr std::size_t kilobytes_per_mb = 1'000U;
+                return std::stoul(line.substr(line.find_first_of("0123456789"))) / kilobytes_per_mb;
+            }
+        }
+        return 0U;
+    }
+
     /*! @brief Returns the lines of all instances that contain a text. */
     std::size_t count_lines(const std::string& text) const {
         std::size_t count = 0U;
@@ -401,6 +421,68 @@
     LONGS_EQUAL(seen.asked, seen.answered + seen.refused);
 }
 
+// Guards against a planned stop that cuts an upload in the middle of its body: what was read is forwarded and answered.
+TEST(gateway_platform, completes_an_upload_during_a_planned_stop) {
+    begin();
+    const auto stopped = named_instance();
+    constexpr std::size_t length = 600'000U;
+    constexpr std::size_t sent_before_stop = 400'000U;
+    const auto text = fake::numbered_text(length);
+    http_channel caller{loop, ip(stopped) + ':' + port(caller_port_number), stream_timing{}, 100'000U};
+    const auto head = "PUT " + prefix + "x HTTP/1.1\r\nHost: h.example\r\nMangopulley-Request-Id: upload-1\r\n" +
+                      "Mangopulley-Deadline-Ms: 1500\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+    int status = 0;
+    caller.send({head, std::string_view{text}.substr(0U, sent_before_stop), true, false, length}, {},
+                [&status](exchange_outcome&& outcome) { status = outcome.failure ? -1 : outcome.response.status(); });
+    pass(milliseconds{200});
+    instances[stopped]->signal(SIGTERM);
+    pass(milliseconds{300});
+    LONGS_EQUAL(0, status);
+    caller.send_body(std::string_view{text}.substr(sent_before_stop), true);
+    pass(milliseconds{500});
+    LONGS_EQUAL(200, status);
+    LONGS_EQUAL(1, seen.runs["upload-1"]);
+    for (const auto& target : targets) {
+        for (const auto& request : target->received) {
+            CHECK_TRUE(request.head.get("Mangopulley-Request-Id", "") != "upload-1" || request.body == text);
+        }
+    }
+    CHECK_TRUE(instances[stopped]->wait_exit(seconds{3}) == 0);
+}
+
+// Guards against a process that is ended for its memory when many callers upload at once: the budget bounds what is
+// held, and callers whose body has no room are told so.
+TEST(gateway_platform, bounds_its_memory_in_a_flood_of_uploads) {
+    begin();
+    const auto used = named_instance();
+    constexpr int uploads = 100;
+    constexpr std::size_t length = 8'000'000U;
+    const std::string text(length, 'x');
+    std::map<int, int> statuses{};
+    std::vector<std::unique_ptr<http_channel>> senders{};
+    for (int number = 0; number < uploads; ++number) {
+        senders.push_back(
+            std::make_unique<http_channel>(loop, ip(used) + ':' + port(caller_port_number), stream_timing{}, 100'000U));
+        const auto head = "PUT " + prefix + "x HTTP/1.1\r\nHost: h.example\r\nMangopulley-Request-Id: flood-" +
+                          std::to_string(number) +
+                          "\r\nMangopulley-Deadline-Ms: 1500\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+        senders.back()->send({head, text, false, false, length}, {}, [&statuses, number](exchange_outcome&& outcome) {
+            statuses[number] = outcome.failure ? -1 : outcome.response.status();
+        });
+    }
+    pass(seconds{5});
+    LONGS_EQUAL(uploads, statuses.size());
+    for (const auto& [number, status] : statuses) {
+        CHECK_TRUE(status == 200 || status == 502 || status == 503 || status == 504 || status == -1);
+    }
+    const auto peak = peak_memory_mb(*instances[used]);
+    CHECK_TRUE_TEXT(peak > 0U && peak < memory_mb, std::to_string(peak).c_str());
+    seen = {};
+    ask("GET", "/get/", "after-1");
+    pass(milliseconds{500});
+    LONGS_EQUAL(1, seen.answered);
+}
+
 // Guards against old routes and leaving targets later than 2 s after the store knew, and against a store outage that
 // stops the service.
 TEST(gateway_platform, follows_the_store_within_its_bound_and_outlives_it) {
