--- a/src/mangopulley/gateway/async_http_server.cpp
+++ b/src/mangopulley/gateway/async_http_server.cpp
@@ -55,6 +55,7 @@
     async_http_server::handler on_request;
     std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> connections{};
     std::unique_ptr<stream_listener> listener{};
+    async_http_server::rejection_listener on_rejection{};
     bool draining{};
 };
 
@@ -313,12 +314,10 @@
         if (this->memory.try_grow_to(needed)) {
             return true;
         }
-        this->request_in_progress = true;
-        this->keep_alive = false;
         this->body_open = true;
         auto reply = text_reply(503, "no memory for the request body");
         reply.headers.push_back({"Retry-After", std::string{full_memory_retry_after}});
-        this->respond(reply_head(reply), reply.body, false);
+        this->reject(reply);
         return false;
     }
 
@@ -341,9 +340,17 @@
     }
 
     void reject(const int status, const std::string_view reason) {
+        this->reject(text_reply(status, std::string{reason}));
+    }
+
+    /*! @brief Answers the request that is arriving without the handler, and closes the connection. */
+    void reject(const http_reply& reply) {
+        if (this->owner.on_rejection) {
+            this->owner.on_rejection(reply.status, reply.body,
+                                     this->parser.head_complete() ? &this->parser.head() : nullptr);
+        }
         this->request_in_progress = true;
         this->keep_alive = false;
-        const auto reply = text_reply(status, std::string{reason});
         this->respond(reply_head(reply), reply.body, false);
     }
 
@@ -537,6 +544,10 @@
     }
 }
 
+void async_http_server::on_rejection(rejection_listener listener) {
+    this->self->on_rejection = std::move(listener);
+}
+
 void async_http_server::close_after_responses() noexcept {
     this->self->draining = true;
 }
--- a/src/mangopulley/gateway/async_http_server.hpp
+++ b/src/mangopulley/gateway/async_http_server.hpp
@@ -61,6 +61,9 @@
 class async_http_server {
 public:
     using handler = std::function<void(const std::shared_ptr<http_server_exchange>& exchange)>;
+    /*! @brief Receives the status and the reason of a request that was answered without the handler, and its head if
+     * that was complete, else null. */
+    using rejection_listener = std::function<void(int status, std::string_view reason, const http_request* head)>;
 
     /**
      * @brief Starts to listen.
@@ -77,6 +80,8 @@
     async_http_server& operator=(const async_http_server&) = delete;
     ~async_http_server();
 
+    /*! @brief Sets the listener called for each request that is malformed, too large, too slow or without memory. */
+    void on_rejection(rejection_listener listener);
     /*! @brief Closes each connection after its next response. */
     void close_after_responses() noexcept;
     /*! @brief Closes the connections without a request in progress or unsent bytes. */
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -131,6 +131,9 @@
         : configuration{std::move(values)}, time{source},
           read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
         this->settings_text = this->read_settings();
+        this->callers.on_rejection([this](const int status, const std::string_view reason, const http_request* head) {
+            this->log_rejection(status, reason, head);
+        });
         this->requests.on_load_change([this](const std::uint32_t key, const std::uint32_t in_flight) {
             this->loads.record_in_flight(key, in_flight);
         });
@@ -279,6 +282,16 @@
         return bounds;
     }
 
+    /*! @brief Logs a request that was answered before it could be forwarded. */
+    void log_rejection(const int status, const std::string_view reason, const http_request* head) {
+        const auto id = head == nullptr ? std::string{} : this->platform.http_dialect->read_request(*head).request_id;
+        this->log.request("request_rejected", {{"request_id", id},
+                                               {"status", std::to_string(status)},
+                                               {"cause", std::string{reason}},
+                                               {"body_memory_bytes", std::to_string(this->body_memory.reserved())}});
+        this->exported_metrics.count("requests_rejected_total{status=\"" + std::to_string(status) + "\"}");
+    }
+
     void answer_operator(http_server_exchange& exchange) {
         const auto& path = exchange.request().path;
         if (path == "/metrics") {
--- a/test/mangopulley/gateway/async_http_server.cpp
+++ b/test/mangopulley/gateway/async_http_server.cpp
@@ -206,12 +206,17 @@
 TEST(async_http_server, rejects_bodies_that_memory_has_no_room_for) {
     answer_immediately = false;
     connect();
+    std::string rejected{};
+    server->on_rejection([&rejected](const int status, std::string_view, const http_request* head) {
+        rejected = std::to_string(status) + (head == nullptr ? std::string{} : head->path);
+    });
     memory_reservation others{memory};
     CHECK_TRUE(others.try_grow_to(memory_bytes - 10U));
     caller->send("PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(200'000U, 'x'));
     await([this] { return closed; });
     CHECK_TRUE(received.find(" 503 ") != std::string::npos);
     CHECK_TRUE(received.find("Retry-After: ") != std::string::npos);
+    STRCMP_EQUAL("503/1", rejected.c_str());
     LONGS_EQUAL(0, exchanges.size());
     others.release();
     LONGS_EQUAL(0, memory.reserved());
