Keep the wait after failed connections; close at once after rejecting a whole body

Cause: found on reading the change. A 503 after connection failures alone also told callers to return after 10 ms, because it only looked for a full target. A request rejected for lack of memory whose body had arrived whole waited for more of it until the time limit.

Change: the short wait needs a rejection by a target with a free slot; the rest of a body is awaited only if it is incomplete.

Result: both cases are checked by extended tests.

--- a/src/mangopulley/gateway/async_http_server.cpp
+++ b/src/mangopulley/gateway/async_http_server.cpp
@@ -307,14 +307,14 @@
         this->reject(this->parser.rejection_status(), this->parser.rejection_reason());
     }
 
-    /*! @brief Reserves memory for the body that is arriving; returns false if the request was rejected for lack of it.
-     */
-    [[nodiscard]] bool admit_body() {
+    /*! @brief Reserves memory for a body of which more may arrive; returns false if the request was rejected for lack
+     * of memory. */
+    [[nodiscard]] bool admit_body(const bool complete) {
         const auto needed = std::min(this->parser.body_length().value_or(body_window_bytes), body_window_bytes);
         if (this->memory.try_grow_to(needed)) {
             return true;
         }
-        this->body_open = true;
+        this->body_open = !complete;
         auto reply = text_reply(503, "no memory for the request body");
         reply.headers.push_back({"Retry-After", std::string{full_memory_retry_after}});
         this->reject(reply);
@@ -327,9 +327,8 @@
         return held > this->limits.longest_held_body || !this->memory.try_grow_to(held);
     }
 
-    void begin_request(const bool whole);
-
     void process_next();
+    void begin_request(bool whole);
 
     /*! @brief Returns the earliest possible arrival time of the bytes being read. */
     [[nodiscard]] time_point earliest_arrival() {
@@ -490,13 +489,13 @@
         this->reject(this->parser.rejection_status(), this->parser.rejection_reason());
         return;
     }
-    if (!this->parser.head_complete() || !this->admit_body()) {
+    const bool whole = present == request_parser::state::complete;
+    if (!this->parser.head_complete() || !this->admit_body(whole)) {
         return;
     }
-    if (present == request_parser::state::incomplete && this->parser.take_continue_expected()) {
+    if (!whole && this->parser.take_continue_expected()) {
         this->connection->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    const bool whole = present == request_parser::state::complete;
     if (whole || this->must_pass_on()) {
         this->begin_request(whole);
     }
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -29,7 +29,7 @@
 constexpr std::uint32_t max_failed_connects = 4U;
 constexpr int misdirected_request_status = 421;
 constexpr duration prune_period{std::chrono::milliseconds{500}};
-constexpr duration full_target_retry_after{std::chrono::milliseconds{100}};
+constexpr duration shortest_retry_after{std::chrono::milliseconds{100}};
 // A target that rejects requests although it has free slots may accept the next one at any time.
 constexpr duration free_target_retry_after{std::chrono::milliseconds{10}};
 // A response that breaks off while it is held can still be replaced by another attempt's.
@@ -270,7 +270,8 @@
             const bool misdirected = status == internal::misdirected_request_status;
             this->end_attempt(transaction->service, attempt,
                               misdirected ? send_outcome::unreachable : send_outcome::shed, metadata.load);
-            transaction->rejected_by_full_target |= !metadata.load || metadata.load->is_full();
+            const bool has_free_slot = metadata.load && !metadata.load->is_full();
+            (has_free_slot ? transaction->rejected_by_free_target : transaction->rejected_by_full_target) = true;
             transaction->cause = misdirected ? "another_target" : "shed";
             if (this->acquire_retry(transaction)) {
                 this->enqueue(transaction);
@@ -330,8 +331,10 @@
             this->respond(transaction, {502, transaction->cause});
         } else {
             if (transaction->retry_after == duration::zero()) {
-                const auto shortest = transaction->rejected_by_full_target ? internal::full_target_retry_after
-                                                                           : internal::free_target_retry_after;
+                const bool may_return_at_once =
+                    transaction->rejected_by_free_target && !transaction->rejected_by_full_target;
+                const auto shortest =
+                    may_return_at_once ? internal::free_target_retry_after : internal::shortest_retry_after;
                 transaction->retry_after = std::max(this->services.expected_wait(transaction->service), shortest);
             }
             this->respond(transaction, {503, transaction->cause});
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -56,6 +56,8 @@
     bool body_passed_on{};
     /*! @brief Whether a target may have executed the request. */
     bool may_have_executed{};
+    /*! @brief Whether a target rejected the request although it reported a free slot. */
+    bool rejected_by_free_target{};
     /*! @brief Whether a target rejected the request while it had no free slot, or did not report its load. */
     bool rejected_by_full_target{};
     bool finished{};
--- a/test/mangopulley/gateway/async_http_server.cpp
+++ b/test/mangopulley/gateway/async_http_server.cpp
@@ -217,6 +217,14 @@
     CHECK_TRUE(received.find(" 503 ") != std::string::npos);
     CHECK_TRUE(received.find("Retry-After: ") != std::string::npos);
     STRCMP_EQUAL("503/1", rejected.c_str());
+    // A body that arrived whole needs no time to be discarded: the connection is closed without the long wait.
+    received.clear();
+    closed = false;
+    limits.longest_receive = std::chrono::hours{1};
+    connect();
+    caller->send("PUT /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + std::string(20U, 'x'));
+    await([this] { return closed; });
+    CHECK_TRUE(received.find(" 503 ") != std::string::npos);
     LONGS_EQUAL(0, exchanges.size());
     others.release();
     LONGS_EQUAL(0, memory.reserved());
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -269,6 +269,10 @@
     const auto full = request_and_wait("GET", "/get/a");
     LONGS_EQUAL(503, full.status);
     CHECK_TRUE(std::stod(full.retry_after) >= 0.1);
+    targets.front()->stop();
+    const auto unreachable = request_and_wait("GET", "/get/a");
+    LONGS_EQUAL(503, unreachable.status);
+    CHECK_TRUE(std::stod(unreachable.retry_after) >= 0.1);
 }
 
 // Guards against requests lost with a crashed target: no byte was sent, so any request may be retried elsewhere.
