Make two tests fail without the code that they guard

Cause: with the guarded lines taken out, never_completes_a_body_whose_caller_left still passed, since an attempt left to finish ends after 3 s, and stops_reading_bytes_that_belong_to_no_request passed, since 16 MB take longer than the test anyway. Change: attempts are left to finish for an hour in these tests; the idle connection must not take in another byte during 200 turns. Result: both fail with the lines taken out and pass with them.

--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -54,7 +54,7 @@
 
     void setup() override {
         subject = std::make_unique<forwarder>(forwarder::dependencies{loop, dialect, routes, metric_sink, log},
-                                              target_choice_rule{}, scheduling_rule{}, forwarding_rule{});
+                                              target_choice_rule{}, scheduling_rule{}, forwarding());
         subject->configure(retry_limits{0.2, 1'000.0, seconds{10}}, 1U, 1'000.0);
         http_limits limits{};
         limits.accept_chunked = true;
@@ -72,6 +72,13 @@
         targets.clear();
     }
 
+    /*! @brief Returns constants with which an attempt that is left to finish stays open beyond the end of a test. */
+    static forwarding_rule forwarding() {
+        forwarding_rule rule{};
+        rule.abandoned_timeout = std::chrono::hours{1};
+        return rule;
+    }
+
     void configure(const duration time_limit = milliseconds{1'500}, const std::uint32_t attempts = 2U) {
         routing_config config{};
         config.revision = routes.current()->revision + 1U;
--- a/test/mangopulley/http/http_channel.cpp
+++ b/test/mangopulley/http/http_channel.cpp
@@ -204,7 +204,10 @@
     connection.bytes->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     await([this] { return outcome.has_value(); });
     connection.bytes->send(fake::numbered_text(16'000'000U));
-    pass(100);
+    pass(200);
     CHECK_FALSE(channel->available());
-    CHECK_TRUE(connection.bytes->unsent() > 0U);
+    const auto unsent = connection.bytes->unsent();
+    CHECK_TRUE(unsent > 0U);
+    pass(200);
+    LONGS_EQUAL(unsent, connection.bytes->unsent());
 }
