Share the fuzzer's request limits; correct the forwarder's summary

Cause: the two descriptions of requests in the fuzzer repeated the same limits, so one could drift from the other; the forwarder's summary still said that responses are complete when they are returned. Change: one function for the limits; the summary names responses only. No code of the program changes.

--- a/src/mangopulley/gateway/forwarder.hpp
+++ b/src/mangopulley/gateway/forwarder.hpp
@@ -32,7 +32,7 @@
 };
 
 /**
- * @brief Forwards caller requests to targets and returns the complete responses.
+ * @brief Forwards caller requests to targets and returns their responses.
  *
  * A request is retried only if it provably was not executed or if it is idempotent, and only within the attempt limit
  * of its route and the retry budget shared by all instances. A status that implies that the request was not executed is
--- a/test/fuzz/input_case.cpp
+++ b/test/fuzz/input_case.cpp
@@ -47,12 +47,16 @@
     return pieces;
 }
 
-[[nodiscard]] std::string describe_requests(const std::vector<std::string>& pieces) {
+[[nodiscard]] http_limits request_limits() {
     http_limits limits{};
     limits.longest_head = 2'048U;
     limits.longest_body = longest_body;
     limits.accept_chunked = true;
-    request_parser parser{limits};
+    return limits;
+}
+
+[[nodiscard]] std::string describe_requests(const std::vector<std::string>& pieces) {
+    request_parser parser{request_limits()};
     std::string seen{};
     std::size_t messages = 0U;
     for (const auto& piece : pieces) {
@@ -75,11 +79,7 @@
 
 /*! @brief Describes the same requests as `describe_requests`, with each body taken out in parts while it arrives. */
 [[nodiscard]] std::string describe_requests_in_parts(const std::vector<std::string>& pieces) {
-    http_limits limits{};
-    limits.longest_head = 2'048U;
-    limits.longest_body = longest_body;
-    limits.accept_chunked = true;
-    request_parser parser{limits};
+    request_parser parser{request_limits()};
     std::string seen{};
     std::string request{};
     for (const auto& piece : pieces) {
