--- a/src/mangopulley/gateway/async_http_server.cpp
+++ b/src/mangopulley/gateway/async_http_server.cpp
@@ -345,8 +345,9 @@
     /*! @brief Answers the request that is arriving without the handler, and closes the connection. */
     void reject(const http_reply& reply) {
         if (this->owner.on_rejection) {
-            this->owner.on_rejection(reply.status, reply.body,
-                                     this->parser.head_complete() ? &this->parser.head() : nullptr);
+            this->owner.on_rejection({reply.status, reply.body,
+                                      this->parser.head_complete() ? &this->parser.head() : nullptr,
+                                      this->requests_handled});
         }
         this->request_in_progress = true;
         this->keep_alive = false;
@@ -398,6 +399,7 @@
     /*! @brief Arrival time of the first byte of the request. */
     time_point request_began{};
     std::size_t read_ahead{};
+    std::uint64_t requests_handled{};
     bool request_in_progress{};
     /*! @brief Whether the rest of the body of the request in progress, or of the last one, is still to arrive. */
     bool body_open{};
@@ -510,6 +512,7 @@
     this->body_open = !whole;
     this->keep_alive = request.head.getKeepAlive();
     this->http_1_0 = request.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    ++this->requests_handled;
     this->owner.on_request(std::make_shared<port_exchange>(this->weak_from_this(), std::move(request), whole));
 }
 
--- a/src/mangopulley/gateway/async_http_server.hpp
+++ b/src/mangopulley/gateway/async_http_server.hpp
@@ -52,6 +52,16 @@
     virtual void on_disconnect(std::function<void()> listener) = 0;
 };
 
+/*! @brief Request that was answered without the handler; the references are valid during the call. */
+struct request_rejection {
+    int status{};
+    std::string_view reason{};
+    /*! @brief Head of the request, or null if it is not complete. */
+    const http_request* head{};
+    /*! @brief Number of requests that the connection had passed to the handler before. */
+    std::uint64_t previous_requests{};
+};
+
 /**
  * @brief HTTP/1.1 server on an event loop.
  *
@@ -61,9 +71,7 @@
 class async_http_server {
 public:
     using handler = std::function<void(const std::shared_ptr<http_server_exchange>& exchange)>;
-    /*! @brief Receives the status and the reason of a request that was answered without the handler, and its head if
-     * that was complete, else null. */
-    using rejection_listener = std::function<void(int status, std::string_view reason, const http_request* head)>;
+    using rejection_listener = std::function<void(const request_rejection& rejection)>;
 
     /**
      * @brief Starts to listen.
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -131,9 +131,7 @@
         : configuration{std::move(values)}, time{source},
           read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
         this->settings_text = this->read_settings();
-        this->callers.on_rejection([this](const int status, const std::string_view reason, const http_request* head) {
-            this->log_rejection(status, reason, head);
-        });
+        this->callers.on_rejection([this](const request_rejection& rejection) { this->log_rejection(rejection); });
         this->requests.on_load_change([this](const std::uint32_t key, const std::uint32_t in_flight) {
             this->loads.record_in_flight(key, in_flight);
         });
@@ -283,13 +281,18 @@
     }
 
     /*! @brief Logs a request that was answered before it could be forwarded. */
-    void log_rejection(const int status, const std::string_view reason, const http_request* head) {
-        const auto id = head == nullptr ? std::string{} : this->platform.http_dialect->read_request(*head).request_id;
+    void log_rejection(const request_rejection& rejection) {
+        const auto id = rejection.head == nullptr
+                            ? std::string{}
+                            : this->platform.http_dialect->read_request(*rejection.head).request_id;
+        const auto status = std::to_string(rejection.status);
         this->log.request("request_rejected", {{"request_id", id},
-                                               {"status", std::to_string(status)},
-                                               {"cause", std::string{reason}},
+                                               {"status", status},
+                                               {"cause", std::string{rejection.reason}},
+                                               {"previous_requests", std::to_string(rejection.previous_requests)},
+                                               {"config_version", std::to_string(this->routes.current()->version)},
                                                {"body_memory_bytes", std::to_string(this->body_memory.reserved())}});
-        this->exported_metrics.count("requests_rejected_total{status=\"" + std::to_string(status) + "\"}");
+        this->exported_metrics.count("requests_rejected_total{status=\"" + status + "\"}");
     }
 
     void answer_operator(http_server_exchange& exchange) {
--- a/src/mangopulley/gateway/transaction_log.cpp
+++ b/src/mangopulley/gateway/transaction_log.cpp
@@ -6,6 +6,8 @@
 
 #include <Poco/String.h>
 
+#include "../http/field_names.hpp"
+
 namespace mangopulley::internal {
 
 namespace {
@@ -19,6 +21,12 @@
     return text;
 }
 
+/*! @brief Returns the host and the beginning of the path that a request without a route asks for. */
+[[nodiscard]] std::string requested_resource(const http_request& request) {
+    constexpr std::size_t max_logged_bytes = 120U;
+    return (request.header(field_name::host).value_or("") + request.path).substr(0U, max_logged_bytes);
+}
+
 void count_completion(const transaction& transaction, const int status, const std::string_view outcome,
                       const time_point now, metrics& metric_sink) {
     std::string name{"requests_total{service=\""};
@@ -68,13 +76,16 @@
                        const time_point now, decision_log& log, metrics& metric_sink) {
     const auto waited =
         (transaction.first_sent_at == time_point{} ? now : transaction.first_sent_at) - transaction.arrived;
+    const bool unmatched = transaction.matched_route == nullptr;
+    const auto& request = transaction.exchange->request();
     log.request(
         "request",
         {{"request_id", transaction.metadata.request_id},
          {"outcome", std::string{outcome}},
          {"status", std::to_string(status)},
          {"cause", transaction.cause},
-         {"route", transaction.matched_route == nullptr ? std::string{} : transaction.matched_route->name},
+         {"route", unmatched ? std::string{} : transaction.matched_route->name},
+         {"requested", unmatched ? requested_resource(request) : std::string{}},
          {"service", transaction.service},
          {"targets", Poco::cat(std::string{","}, transaction.tried_targets.begin(), transaction.tried_targets.end())},
          {"waited_ms", to_milliseconds(waited)},
--- a/test/mangopulley/gateway/async_http_server.cpp
+++ b/test/mangopulley/gateway/async_http_server.cpp
@@ -207,8 +207,9 @@
     answer_immediately = false;
     connect();
     std::string rejected{};
-    server->on_rejection([&rejected](const int status, std::string_view, const http_request* head) {
-        rejected = std::to_string(status) + (head == nullptr ? std::string{} : head->path);
+    server->on_rejection([&rejected](const request_rejection& rejection) {
+        rejected =
+            std::to_string(rejection.status) + (rejection.head == nullptr ? std::string{} : rejection.head->path);
     });
     memory_reservation others{memory};
     CHECK_TRUE(others.try_grow_to(memory_bytes - 10U));
