Hold each request to the limits in force when it arrives

Callers saw: a proper request ended with 413 or 431. An open connection kept the limits of its opening: those of an older configuration, or the defaults (1 MB of body, 16 KB of head) if it was opened before the instance's first configuration, for instance after a restart of all instances.

Cause: caller_connection and its parser copied the limits when they were built; a kept connection outlives many configurations. Now they are read again before each head and, for the idle timeout, at each expiry pass between requests.

Found by reading while looking for the reported DENIED; whether it is what the users saw is not shown: bodies on the two reported sites are under 7.2 KB.

Evidence: applies_new_limits_to_open_connections failed before (431 instead of 200) and passes now; async_http_server and request_parser tests pass.

--- a/src/mangopulley/gateway/async_http_server.cpp
+++ b/src/mangopulley/gateway/async_http_server.cpp
@@ -62,8 +62,8 @@
 /*! @brief Connection of a caller; at most one of its requests is in progress at a time. */
 class caller_connection final : public std::enable_shared_from_this<caller_connection> {
 public:
-    caller_connection(async_http_server_state& port, const http_limits& bounds)
-        : owner{port}, limits{bounds}, parser{bounds}, last_activity{port.loop.now()},
+    explicit caller_connection(async_http_server_state& port)
+        : owner{port}, limits{port.limits()}, parser{this->limits}, last_activity{port.loop.now()},
           earliest_opened{port.loop.earliest_arrival()} {}
 
     void open(const Poco::Net::StreamSocket& socket) {
@@ -160,10 +160,13 @@
         }
     }
 
-    void expire(const time_point now) {
+    void expire(const time_point now, const http_limits& bounds) {
         if (this->request_in_progress || !this->connection) {
             return;
         }
+        if (!this->parser.started()) {
+            this->apply(bounds);
+        }
         if (this->closing || this->connection->unsent() > 0U) {
             if (now - this->last_activity >= this->max_linger()) {
                 this->drop();
@@ -185,6 +188,12 @@
     void set_disconnect_listener(std::function<void()> listener) { this->disconnect_listener = std::move(listener); }
 
 private:
+    /*! @brief Replaces the limits between two requests; a connection outlives many configurations. */
+    void apply(const http_limits& bounds) noexcept {
+        this->limits = bounds;
+        this->parser.apply(bounds);
+    }
+
     /*! @brief Returns how long a connection that is being closed waits for the caller. */
     [[nodiscard]] duration max_linger() const noexcept {
         if (this->body_open) {
@@ -486,6 +495,9 @@
 };
 
 void caller_connection::process_next() {
+    if (!this->parser.head_complete()) {
+        this->apply(this->owner.limits());
+    }
     const auto present = this->parser.examine();
     if (present == request_parser::state::rejected) {
         this->reject(this->parser.rejection_status(), this->parser.rejection_reason());
@@ -528,11 +540,10 @@
           implementation{internal::async_http_server_state{loop, memory, std::move(limits), std::move(on_request)}})} {
     auto& state = *this->self;
     state.listener = std::make_unique<stream_listener>(loop, address, [&state](const Poco::Net::StreamSocket& socket) {
-        const auto bounds = state.limits();
-        if (state.connections.size() >= bounds.most_connections) {
+        if (state.connections.size() >= state.limits().most_connections) {
             return;
         }
-        auto connection = std::make_shared<internal::caller_connection>(state, bounds);
+        auto connection = std::make_shared<internal::caller_connection>(state);
         state.connections.emplace(connection.get(), connection);
         connection->open(socket);
     });
@@ -566,8 +577,9 @@
 void async_http_server::expire() {
     const auto connections = this->self->connections;
     const auto now = this->self->loop.now();
+    const auto bounds = this->self->limits();
     for (const auto& [key, connection] : connections) {
-        connection->expire(now);
+        connection->expire(now, bounds);
     }
 }
 
--- a/src/mangopulley/gateway/async_http_server.hpp
+++ b/src/mangopulley/gateway/async_http_server.hpp
@@ -78,7 +78,7 @@
      * @param loop Loop, which must outlive the server.
      * @param address Address as `ip:port`.
      * @param memory Memory for request bodies; must outlive the server. Requests are rejected while it has no room.
-     * @param limits Returns the limits for a new connection.
+     * @param limits Returns the limits in force; each request is held to those at its arrival.
      * @param on_request Called with each request that is complete or whose body is too long to be held.
      * @throw Poco::Exception when the address is in use.
      */
--- a/src/mangopulley/http/request_parser.hpp
+++ b/src/mangopulley/http/request_parser.hpp
@@ -24,6 +24,9 @@
     /*! @brief Prepares a parser with the given bounds. */
     explicit request_parser(const http_limits& limits) noexcept : bounds{limits} {}
 
+    /*! @brief Replaces the bounds, for the next head that is examined. */
+    void apply(const http_limits& limits) noexcept { this->bounds = limits; }
+
     /**
      * @brief Adds received bytes.
      * @param bytes Bytes in the order in which they arrived.
--- a/test/mangopulley/gateway/async_http_server.cpp
+++ b/test/mangopulley/gateway/async_http_server.cpp
@@ -145,6 +145,25 @@
     CHECK_TRUE(received.empty());
 }
 
+// Guards against a proper request rejected by limits that were replaced after its connection was opened.
+TEST(async_http_server, applies_new_limits_to_open_connections) {
+    limits.longest_body = 10U;
+    limits.longest_head = 100U;
+    connect();
+    caller->send(get("/1"));
+    await([this] { return received.find("/1") != std::string::npos; });
+    limits.longest_body = 1'000U;
+    limits.longest_head = 1'000U;
+    caller->send("PUT /2 HTTP/1.1\r\nHost: h\r\nX: " + std::string(500U, 'x') + "\r\nContent-Length: 200\r\n\r\n" +
+                 std::string(200U, 'x'));
+    await([this] { return closed || received.find("/2") != std::string::npos; });
+    CHECK_TRUE_TEXT(received.find("/2") != std::string::npos, received.c_str());
+    limits.longest_body = 10U;
+    caller->send("PUT /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n" + std::string(200U, 'x'));
+    await([this] { return closed; });
+    CHECK_TRUE(received.find(" 413 ") != std::string::npos);
+}
+
 // Guards against processing a malformed request, or a request that follows it on the same connection.
 TEST(async_http_server, rejects_malformed_requests_and_closes) {
     connect();
