Read the store's epoch with each document and log its restores

The adapter now reads the epoch that each response carries; it is kept beside the revision, told in heartbeats and documents, and logged with store_restored, config_changed and targets_changed. Which document counts as newer stays as it was.

--- a/src/mangopulley/gateway/document_codec.cpp
+++ b/src/mangopulley/gateway/document_codec.cpp
@@ -1,6 +1,7 @@
 #include "document_codec.hpp"
 
 #include "duration_codec.hpp"
+#include "store_position_codec.hpp"
 
 namespace mangopulley {
 
@@ -16,9 +17,9 @@
 constexpr std::uint32_t part_fields = 2U;
 constexpr std::uint32_t service_fields = 3U;
 constexpr std::uint32_t limit_fields = 4U;
-constexpr std::uint32_t list_fields = 2U;
-constexpr std::uint32_t config_fields = 5U;
-constexpr std::uint32_t changes_fields = 5U;
+constexpr std::uint32_t list_fields = 3U;
+constexpr std::uint32_t config_fields = 6U;
+constexpr std::uint32_t changes_fields = 6U;
 
 template <typename Record, typename Write>
 void write_records(message_writer& writer, const std::vector<Record>& records, Write write) {
@@ -126,7 +127,8 @@
 
 std::string encode_targets(const target_list& list) {
     message_writer writer{};
-    writer.array(internal::list_fields).number(list.revision);
+    writer.array(internal::list_fields);
+    internal::write_position(writer, list.position);
     internal::write_records(writer, list.targets, internal::write_target);
     return writer.take();
 }
@@ -135,14 +137,15 @@
     message_reader reader{bytes};
     target_list list{};
     reader.array(internal::list_fields);
-    list.revision = reader.number();
+    list.position = internal::read_position(reader);
     internal::read_records(reader, list.targets, internal::read_target);
     return reader.valid() && reader.finished() ? std::optional{std::move(list)} : std::nullopt;
 }
 
 std::string encode_changes(const target_changes& changes) {
     message_writer writer{};
-    writer.array(internal::changes_fields).number(changes.from).number(changes.to).number(changes.revision);
+    writer.array(internal::changes_fields).number(changes.from).number(changes.to);
+    internal::write_position(writer, changes.position);
     internal::write_records(writer, changes.changed, internal::write_target);
     internal::write_records(writer, changes.removed, [](message_writer& out, const std::string& id) { out.text(id); });
     return writer.take();
@@ -156,7 +159,7 @@
     }
     changes.from = reader.number();
     changes.to = reader.number();
-    changes.revision = reader.number();
+    changes.position = internal::read_position(reader);
     internal::read_records(reader, changes.changed, internal::read_target);
     internal::read_records(reader, changes.removed, [](message_reader& in) { return std::string{in.text()}; });
     return reader.valid() && reader.finished() ? std::optional{std::move(changes)} : std::nullopt;
@@ -164,7 +167,8 @@
 
 std::string encode_config(const routing_config& config) {
     message_writer writer{};
-    writer.array(internal::config_fields).number(config.version).number(config.revision);
+    writer.array(internal::config_fields).number(config.version);
+    internal::write_position(writer, config.position);
     internal::write_records(writer, config.routes, internal::write_route);
     internal::write_records(writer, config.services, internal::write_service);
     internal::write_limits(writer, config.limits);
@@ -176,7 +180,7 @@
     routing_config config{};
     reader.array(internal::config_fields);
     config.version = reader.number();
-    config.revision = reader.number();
+    config.position = internal::read_position(reader);
     internal::read_records(reader, config.routes, internal::read_route);
     internal::read_records(reader, config.services, internal::read_service);
     config.limits = internal::read_limits(reader);
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -317,7 +317,7 @@
     [[nodiscard]] nlohmann::json describe() const {
         auto leaders = nlohmann::json::array();
         for (const auto& record : this->members.leaders()) {
-            leaders.push_back({{"name", record.identity.name}, {"config_revision", record.config_revision}});
+            leaders.push_back({{"name", record.identity.name}, {"config_version", record.config_version}});
         }
         return {{"instance", this->configuration.instance_name},
                 {"incarnation", this->incarnation},
--- a/src/mangopulley/gateway/gateway_response.cpp
+++ b/src/mangopulley/gateway/gateway_response.cpp
@@ -23,7 +23,7 @@
     transaction.config = routes.current();
     transaction.arrived = request.received;
     transaction.deadline = request.received + transaction.metadata.time_left.value_or(max_deadline);
-    if (transaction.config->revision == 0U) {
+    if (!transaction.config->loaded()) {
         transaction.retry_after = missing_config_retry_after;
         return gateway_response{503, "no_config"};
     }
--- a/src/mangopulley/gateway/listed_target.cpp
+++ b/src/mangopulley/gateway/listed_target.cpp
@@ -22,7 +22,7 @@
         by_id.insert_or_assign(target.id, target);
     }
     target_list next{};
-    next.revision = changes.revision;
+    next.position = changes.position;
     for (auto& [id, target] : by_id) {
         next.targets.push_back(std::move(target));
     }
--- a/src/mangopulley/gateway/listed_target.hpp
+++ b/src/mangopulley/gateway/listed_target.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "../core/fwd.hpp"
+#include "store_position.hpp"
 
 namespace mangopulley {
 
@@ -28,9 +29,9 @@
     friend bool operator==(const listed_target&, const listed_target&) = default;
 };
 
-/*! @brief List of all targets as of one revision of the platform's store. */
+/*! @brief List of all targets as of one position of the platform's store. */
 struct target_list {
-    std::uint64_t revision{};
+    store_position position{};
     /*! @brief In the order of their ids. */
     std::vector<listed_target> targets{};
 };
@@ -41,7 +42,7 @@
     std::uint64_t from{};
     /*! @brief Digest of the resulting list. */
     std::uint64_t to{};
-    std::uint64_t revision{};
+    store_position position{};
     /*! @brief Targets that are new or different. */
     std::vector<listed_target> changed{};
     /*! @brief Ids of removed targets. */
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -1,6 +1,7 @@
 #include "peer_record.hpp"
 
 #include "duration_codec.hpp"
+#include "store_position_codec.hpp"
 
 namespace mangopulley {
 
@@ -8,8 +9,8 @@
 
 namespace {
 
-constexpr std::uint64_t peer_format = 6U;
-constexpr std::uint32_t message_fields = 16U;
+constexpr std::uint64_t peer_format = 7U;
+constexpr std::uint32_t message_fields = 19U;
 constexpr std::uint32_t introduction_fields = 6U;
 constexpr std::uint32_t member_fields = 9U;
 constexpr duration max_age{std::chrono::hours{1}};
@@ -41,9 +42,12 @@
     writer.array(internal::message_fields).number(internal::peer_format).number(record.incarnation);
     writer.boolean(record.ready).boolean(message.requests_introduction).number(message.members_digest);
     writer.boolean(record.cpu_starved).number(record.requests_per_second);
-    writer.number(record.config_revision).number(record.config_read);
+    writer.number(record.config_version);
+    internal::write_position(writer, record.config_position);
+    writer.number(record.config_read);
     internal::write_duration(writer, record.config_age);
-    writer.number(record.targets_revision).number(record.targets_digest).number(record.targets_read);
+    internal::write_position(writer, record.targets_position);
+    writer.number(record.targets_digest).number(record.targets_read);
     internal::write_duration(writer, record.targets_age);
     writer.text(message.target_changes);
     writer.array(message.introduces ? internal::introduction_fields : 0U);
@@ -67,10 +71,11 @@
     message.members_digest = reader.number();
     record.cpu_starved = reader.boolean();
     record.requests_per_second = static_cast<std::uint32_t>(reader.number());
-    record.config_revision = reader.number();
+    record.config_version = reader.number();
+    record.config_position = internal::read_position(reader);
     record.config_read = static_cast<std::uint32_t>(reader.number());
     record.config_age = internal::read_duration(reader, internal::max_age);
-    record.targets_revision = reader.number();
+    record.targets_position = internal::read_position(reader);
     record.targets_digest = reader.number();
     record.targets_read = static_cast<std::uint32_t>(reader.number());
     record.targets_age = internal::read_duration(reader, internal::max_age);
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "../core/fwd.hpp"
+#include "store_position.hpp"
 
 namespace mangopulley {
 
@@ -32,12 +33,15 @@
     bool cpu_starved{};
     /*! @brief Smoothed rate of caller requests per second. */
     std::uint32_t requests_per_second{};
-    std::uint64_t config_revision{};
+    /*! @brief Version of the configuration in use; 0 without one. */
+    std::uint64_t config_version{};
+    store_position config_position{};
     /*! @brief Number of the read behind `config_age`, so that receivers recognize it in later reports. */
     std::uint32_t config_read{};
     /*! @brief Time since the configuration was last known to be current. */
     duration config_age{};
-    std::uint64_t targets_revision{};
+    /*! @brief Position of the target list; revision 0 without one. */
+    store_position targets_position{};
     std::uint64_t targets_digest{};
     /*! @brief Number of the read behind `targets_age`. */
     std::uint32_t targets_read{};
--- a/src/mangopulley/gateway/peer_service.cpp
+++ b/src/mangopulley/gateway/peer_service.cpp
@@ -25,7 +25,7 @@
     http_reply reply{};
     reply.content_type = "application/msgpack";
     const auto& path = exchange.request().path;
-    if (path == "/config" && this->follower.config().revision > 0U) {
+    if (path == "/config" && this->follower.config().loaded()) {
         reply.body = encode_config(this->follower.config());
     } else if (path == "/targets" && this->follower.initialized()) {
         reply.body = this->targets_for(exchange.request());
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -71,6 +71,8 @@
     /*! @brief Targets missing since an outage, and until when they are still used. */
     std::vector<std::pair<listed_target, time_point>> missing{};
     std::uint64_t reads{};
+    /*! @brief Newest epoch of the store that is known. */
+    std::uint64_t epoch{};
     time_point started{};
     timer_id timer{};
 
@@ -167,6 +169,23 @@
         }
     }
 
+    /*! @brief Logs that the store was restored from a copy; it may lack what it had acknowledged before. */
+    void observe_epoch(const store_position& position, const std::string& from) {
+        const auto previous = std::exchange(this->epoch, std::max(this->epoch, position.epoch));
+        if (this->epoch != previous && this->initialized()) {
+            this->deps.log.change("store_restored",
+                                  {{"epoch", std::to_string(this->epoch)},
+                                   {"revision", std::to_string(position.revision)},
+                                   {"previous_epoch", std::to_string(previous)},
+                                   {"config_version", std::to_string(this->config.version)},
+                                   {"config_revision", std::to_string(this->config.position.revision)},
+                                   {"targets_revision", std::to_string(this->listed.position.revision)},
+                                   {"from", from}});
+        }
+    }
+
+    [[nodiscard]] bool initialized() const noexcept { return this->targets.as_of && this->config.loaded(); }
+
     void handle_success(const std::string& what, internal::document_state& state) {
         if (std::exchange(state.failing, false)) {
             this->deps.log.change("platform_regained",
@@ -175,14 +194,16 @@
     }
 
     void apply_config(routing_config&& found, const internal::source_read& source, const std::string& from) {
-        if (found.revision >= this->config.revision) {
+        this->observe_epoch(found.position, from);
+        if (found.position.revision >= this->config.position.revision) {
             this->configs.confirm(source);
         }
-        if (found.revision <= this->config.revision) {
+        if (found.position.revision <= this->config.position.revision) {
             return;
         }
         this->deps.log.change("config_changed", {{"version", std::to_string(found.version)},
-                                                 {"revision", std::to_string(found.revision)},
+                                                 {"epoch", std::to_string(found.position.epoch)},
+                                                 {"revision", std::to_string(found.position.revision)},
                                                  {"previous", std::to_string(this->config.version)},
                                                  {"routes", std::to_string(found.routes.size())},
                                                  {"from", from},
@@ -192,8 +213,10 @@
     }
 
     void apply_targets(target_list&& found, const internal::source_read& source, const std::string& from) {
+        this->observe_epoch(found.position, from);
         const auto as_of = source.as_of;
-        if (this->targets.as_of && (as_of < *this->targets.as_of || found.revision < this->listed.revision)) {
+        if (this->targets.as_of &&
+            (as_of < *this->targets.as_of || found.position.revision < this->listed.position.revision)) {
             return;
         }
         const auto time = this->now();
@@ -221,7 +244,8 @@
     void log_targets(const std::string& from, const time_point as_of, const bool after_outage) {
         const auto draining_count = std::count_if(this->listed.targets.begin(), this->listed.targets.end(),
                                                   [](const listed_target& target) { return target.draining; });
-        this->deps.log.change("targets_changed", {{"revision", std::to_string(this->listed.revision)},
+        this->deps.log.change("targets_changed", {{"epoch", std::to_string(this->listed.position.epoch)},
+                                                  {"revision", std::to_string(this->listed.position.revision)},
                                                   {"count", std::to_string(this->listed.targets.size())},
                                                   {"leaving", std::to_string(draining_count)},
                                                   {"kept_missing", std::to_string(this->missing.size())},
@@ -271,14 +295,14 @@
     }
 
     void receive_config(const std::string& ip, const peer_record& record, const time_point time) {
-        if (record.config_revision == 0U) {
+        if (record.config_position.revision == 0U) {
             return;
         }
         const internal::source_read source{
             this->configs.reported.earliest(record.config_read, time - record.config_age, time), record.config_read};
-        if (record.config_revision == this->config.revision) {
+        if (record.config_position.revision == this->config.position.revision) {
             this->configs.confirm(source);
-        } else if (record.config_revision > this->config.revision && !this->configs.fetching) {
+        } else if (record.config_position.revision > this->config.position.revision && !this->configs.fetching) {
             this->configs.fetching = true;
             this->deps.fetch(ip, "/config", [this, source, ip](std::string&& bytes) {
                 this->configs.fetching = false;
@@ -291,7 +315,7 @@
 
     void receive_targets(const std::string& ip, const peer_record& record, const std::string_view target_changes,
                          const time_point time) {
-        if (record.targets_revision == 0U) {
+        if (record.targets_position.revision == 0U) {
             return;
         }
         const internal::source_read source{
@@ -307,7 +331,7 @@
         const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
         if (known && !after_outage) {
             this->targets.confirm(source);
-            this->listed.revision = std::max(this->listed.revision, record.targets_revision);
+            this->listed.position = std::max(this->listed.position, record.targets_position);
             return;
         }
         if (this->apply_inline_changes(target_changes, source, ip) || this->targets.fetching) {
@@ -368,17 +392,18 @@
 
 void platform_follower::describe(peer_record& record) const {
     const auto& state = *this->self;
-    record.config_revision = state.config.revision;
+    record.config_version = state.config.version;
+    record.config_position = state.config.position;
     record.config_read = state.configs.read_number;
     record.config_age = this->config_age();
-    record.targets_revision = state.targets.as_of ? state.listed.revision : 0U;
+    record.targets_position = state.targets.as_of ? state.listed.position : store_position{};
     record.targets_digest = state.digest;
     record.targets_read = state.targets.read_number;
     record.targets_age = this->targets_age();
 }
 
 bool platform_follower::initialized() const noexcept {
-    return this->self->targets.as_of.has_value() && this->self->config.revision > 0U;
+    return this->self->initialized();
 }
 
 const target_list& platform_follower::listed() const noexcept {
--- a/src/mangopulley/gateway/route_table.hpp
+++ b/src/mangopulley/gateway/route_table.hpp
@@ -27,7 +27,7 @@
      */
     bool apply(routing_config config);
 
-    /*! @brief Returns the active configuration; its revision is 0 before the first `apply`. */
+    /*! @brief Returns the active configuration; not loaded before the first `apply`. */
     [[nodiscard]] const std::shared_ptr<const routing_config>& current() const noexcept;
 
     /**
--- a/src/mangopulley/gateway/routing_config.hpp
+++ b/src/mangopulley/gateway/routing_config.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "../core/fwd.hpp"
+#include "store_position.hpp"
 
 namespace mangopulley {
 
@@ -62,12 +63,16 @@
 struct routing_config {
     /*! @brief Version assigned by the operator. */
     std::uint64_t version{};
-    /*! @brief Revision in the platform's store; 0 before the first configuration is read. */
-    std::uint64_t revision{};
+    /*! @brief Position of its last change in the platform's store. */
+    store_position position{};
     std::vector<route> routes{};
     std::vector<service_config> services{};
     caller_limits limits{};
 
+    /*! @brief Returns whether this is a configuration that was read, not the empty one of an instance that just
+     * started. */
+    [[nodiscard]] bool loaded() const noexcept { return this->position.revision != 0U; }
+
     friend bool operator==(const routing_config&, const routing_config&) = default;
 };
 
--- a/src/mangopulley/gateway/target_history.cpp
+++ b/src/mangopulley/gateway/target_history.cpp
@@ -40,7 +40,7 @@
     changes.from = previous;
     const auto& latest = this->versions.back();
     changes.to = latest.digest;
-    changes.revision = current.revision;
+    changes.position = current.position;
     std::unordered_map<std::string, std::uint64_t> before{known->targets.begin(), known->targets.end()};
     for (std::size_t index = 0U; index < latest.targets.size(); ++index) {
         const auto& [id, digest] = latest.targets[index];
--- a/test/mangopulley/gateway/document_codec.cpp
+++ b/test/mangopulley/gateway/document_codec.cpp
@@ -9,12 +9,12 @@
 using std::chrono::milliseconds;
 
 TEST_GROUP(document_codec) {
-    target_list list{7U, {{"t1", 3U, "proof", "10.0.0.1:80", "a", 2U, true, milliseconds{1'500}}}};
+    target_list list{{1U, 7U}, {{"t1", 3U, "proof", "10.0.0.1:80", "a", 2U, true, milliseconds{1'500}}}};
     routing_config config{};
 
     void setup() override {
         config.version = 4U;
-        config.revision = 9U;
+        config.position = {2U, 9U};
         config.routes = {{"r1", "h", "/x/", true, milliseconds{800}, milliseconds{200}, 2U, 2U, {{"proof", 0.5}}}};
         config.services = {{"proof", "/health", 220U}};
         config.limits.body_bytes = 5'000U;
@@ -40,7 +40,7 @@
 TEST(document_codec, round_trips_documents) {
     const auto targets = decode_targets(encode_targets(list));
     CHECK_TRUE(targets.has_value());
-    CHECK_TRUE(targets->revision == list.revision && targets->targets == list.targets);
+    CHECK_TRUE(targets->position == list.position && targets->targets == list.targets);
     CHECK_TRUE(digest_of(*targets) == digest_of(list));
     const auto copy = decode_config(encode_config(config));
     CHECK_TRUE(copy.has_value());
@@ -53,7 +53,7 @@
     const auto before = digest_of(list);
     auto warmed_up = list;
     warmed_up.targets[0].warm_up = {};
-    warmed_up.revision = 99U;
+    warmed_up.position.revision = 99U;
     CHECK_TRUE(digest_of(warmed_up) == before);
     auto not_draining = list;
     not_draining.targets[0].draining = false;
@@ -67,7 +67,7 @@
 TEST(document_codec, survives_malformed_input) {
     check_hostile(encode_targets(list), decode_targets);
     check_hostile(encode_config(config), decode_config);
-    check_hostile(encode_changes({1U, 2U, 3U, list.targets, {"gone"}}), decode_changes);
+    check_hostile(encode_changes({1U, 2U, {1U, 3U}, list.targets, {"gone"}}), decode_changes);
     known_instance known{};
     known.record.identity.name = "i1";
     check_hostile(encode_members({known}), decode_members);
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -81,8 +81,8 @@
 
     void configure(const duration time_limit = milliseconds{1'500}, const std::uint32_t attempts = 2U) {
         routing_config config{};
-        config.revision = routes.current()->revision + 1U;
-        config.version = config.revision;
+        config.position.revision = routes.current()->position.revision + 1U;
+        config.version = config.position.revision;
         config.services = {{"proof", "/health", 220U}};
         config.routes = {{"get", "h", "/get/", true, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}},
                          {"put", "h", "/put/", false, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}}};
@@ -97,7 +97,7 @@
     }
 
     void list_targets() {
-        target_list list{1U, {}};
+        target_list list{{0U, 1U}, {}};
         for (const auto& target : targets) {
             listed_target listing{};
             listing.id = target->id;
@@ -417,7 +417,7 @@
         listing.service = "proof";
         listing.endpoint = peer->endpoint();
         listing.slots = 2U;
-        subject->update_targets({1U, {listing}});
+        subject->update_targets({{0U, 1U}, {listing}});
     }
 
     /*! @brief Returns the number of connections with a caller's request; others carry probes. */
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -43,12 +43,13 @@
             target.draining = id == draining;
             this->targets.targets.push_back(target);
         }
-        ++this->targets.revision;
+        ++this->targets.position.revision;
     }
 
     void change_config(const std::uint64_t version) {
         this->config.version = version;
-        this->config.revision = ++this->targets.revision;
+        ++this->targets.position.revision;
+        this->config.position = this->targets.position;
     }
 };
 
--- a/test/mangopulley/gateway/route_table.cpp
+++ b/test/mangopulley/gateway/route_table.cpp
@@ -23,7 +23,7 @@
 [[nodiscard]] routing_config make_config(const std::uint64_t revision) {
     routing_config config{};
     config.version = revision;
-    config.revision = revision;
+    config.position.revision = revision;
     config.routes = {make_route("a.example", "/", "root"), make_route("a.example", "/x/", "short"),
                      make_route("a.example", "/x/y/", "long")};
     return config;
@@ -71,7 +71,7 @@
         CHECK_TRUE(std::abs(counts["first"] - number * 0.7) <= 1.0);
         CHECK_TRUE(std::abs(counts["second"] - number * 0.2) <= 1.0);
         if (number == 500) {
-            config.revision = 2U;
+            config.position.revision = 2U;
             config.routes.front().parts = {{"other", 1.0}};
             CHECK_TRUE(table.apply(config));
         }
--- a/test/mangopulley/gateway/target_history.cpp
+++ b/test/mangopulley/gateway/target_history.cpp
@@ -15,7 +15,7 @@
 
 [[nodiscard]] target_list list_of(const std::vector<std::string>& ids, const std::uint64_t revision) {
     target_list list{};
-    list.revision = revision;
+    list.position.revision = revision;
     for (const auto& id : ids) {
         listed_target target{};
         target.id = id;
@@ -49,7 +49,7 @@
     const auto applied = apply_changes(before, received.value());
     CHECK_TRUE(applied.has_value());
     CHECK_TRUE(applied->targets == after.targets);
-    LONGS_EQUAL(9, applied->revision);
+    LONGS_EQUAL(9, applied->position.revision);
 }
 
 // Guards against applying changes to a list that they do not start from, and against a resulting list that differs from
--- a/test/platform/record_decoder.cpp
+++ b/test/platform/record_decoder.cpp
@@ -32,7 +32,7 @@
     draining.replace(draining.find("ready"), 5U, "draining");
     const auto decoded = decode_target_page(page(object("i-1", good) + "," + object("i-2", draining), true));
     CHECK_TRUE(decoded.has_value());
-    LONGS_EQUAL(12, decoded->list.revision);
+    LONGS_EQUAL(12, decoded->list.position.revision);
     LONGS_EQUAL(2, decoded->list.targets.size());
     const auto& target = decoded->list.targets.front();
     STRCMP_EQUAL("i-1", target.id.c_str());
@@ -100,7 +100,7 @@
         R"("later_field":{}})"));
     CHECK_TRUE(decoded.has_value());
     LONGS_EQUAL(5, decoded->version);
-    LONGS_EQUAL(7, decoded->revision);
+    LONGS_EQUAL(7, decoded->position.revision);
     const auto& first = decoded->routes.front();
     CHECK_TRUE(first.idempotent);
     CHECK_TRUE(first.time_limit == milliseconds{800});
