Order configurations by version and lists by epoch, then revision

Callers saw: after the store had been restored from a copy, requests were handled by a replaced configuration and got 404 on routes that an acknowledged one had added.

Cause: documents were ordered by the store's revision, which a restored store gives out again. A newer configuration with a lower revision was taken for an old one, the target list was ignored until its revision had caught up, and a read that brought nothing newer did not count, so that every instance read again at once.

Change: a configuration is identified by the operator's version first, then by epoch and revision; lists by epoch and revision. A successful read of an older version confirms the one in use and is logged once as config_kept. A list older than the one in use counts as a failed read, with its pause. A new epoch counts as an outage for entries that are missing.

Evidence: platform_follower follows_the_configuration_of_a_restored_store and bounds_its_calls_while_a_restored_store_is_behind failed before and pass now; rejects_a_version_between_the_copy_and_the_one_in_use and route_table orders_configurations_by_version_across_restores guard the other direction.

--- a/src/mangopulley/gateway/document_codec.cpp
+++ b/src/mangopulley/gateway/document_codec.cpp
@@ -167,8 +167,8 @@
 
 std::string encode_config(const routing_config& config) {
     message_writer writer{};
-    writer.array(internal::config_fields).number(config.version);
-    internal::write_position(writer, config.position);
+    writer.array(internal::config_fields);
+    internal::write_config_id(writer, config.id);
     internal::write_records(writer, config.routes, internal::write_route);
     internal::write_records(writer, config.services, internal::write_service);
     internal::write_limits(writer, config.limits);
@@ -179,8 +179,7 @@
     message_reader reader{bytes};
     routing_config config{};
     reader.array(internal::config_fields);
-    config.version = reader.number();
-    config.position = internal::read_position(reader);
+    config.id = internal::read_config_id(reader);
     internal::read_records(reader, config.routes, internal::read_route);
     internal::read_records(reader, config.services, internal::read_service);
     config.limits = internal::read_limits(reader);
--- a/src/mangopulley/gateway/fwd.hpp
+++ b/src/mangopulley/gateway/fwd.hpp
@@ -14,9 +14,11 @@
 class request_scheduler;
 class route_table;
 class target_pool;
+struct config_id;
 struct listed_target;
 struct load_reading;
 struct routing_config;
+struct store_position;
 struct target_list;
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -294,7 +294,7 @@
                                                {"status", status},
                                                {"cause", std::string{rejection.reason}},
                                                {"previous_requests", std::to_string(rejection.previous_requests)},
-                                               {"config_version", std::to_string(this->routes.current()->version)},
+                                               {"config_version", std::to_string(this->routes.current()->id.version)},
                                                {"body_memory_bytes", std::to_string(this->body_memory.reserved())}});
         this->exported_metrics.count("requests_rejected_total{status=\"" + status + "\"}");
     }
@@ -317,13 +317,13 @@
     [[nodiscard]] nlohmann::json describe() const {
         auto leaders = nlohmann::json::array();
         for (const auto& record : this->members.leaders()) {
-            leaders.push_back({{"name", record.identity.name}, {"config_version", record.config_version}});
+            leaders.push_back({{"name", record.identity.name}, {"config_version", record.config.version}});
         }
         return {{"instance", this->configuration.instance_name},
                 {"incarnation", this->incarnation},
                 {"ready", this->ready()},
                 {"stopping", this->stopping},
-                {"config_version", this->follower.config().version},
+                {"config_version", this->follower.config().id.version},
                 {"config_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.config_age()).count()},
                 {"targets_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.targets_age()).count()},
                 {"platform_calls", this->platform.store->calls()},
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -42,8 +42,7 @@
     writer.array(internal::message_fields).number(internal::peer_format).number(record.incarnation);
     writer.boolean(record.ready).boolean(message.requests_introduction).number(message.members_digest);
     writer.boolean(record.cpu_starved).number(record.requests_per_second);
-    writer.number(record.config_version);
-    internal::write_position(writer, record.config_position);
+    internal::write_config_id(writer, record.config);
     writer.number(record.config_read);
     internal::write_duration(writer, record.config_age);
     internal::write_position(writer, record.targets_position);
@@ -71,8 +70,7 @@
     message.members_digest = reader.number();
     record.cpu_starved = reader.boolean();
     record.requests_per_second = static_cast<std::uint32_t>(reader.number());
-    record.config_version = reader.number();
-    record.config_position = internal::read_position(reader);
+    record.config = internal::read_config_id(reader);
     record.config_read = static_cast<std::uint32_t>(reader.number());
     record.config_age = internal::read_duration(reader, internal::max_age);
     record.targets_position = internal::read_position(reader);
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "../core/fwd.hpp"
+#include "routing_config.hpp"
 #include "store_position.hpp"
 
 namespace mangopulley {
@@ -33,9 +34,8 @@
     bool cpu_starved{};
     /*! @brief Smoothed rate of caller requests per second. */
     std::uint32_t requests_per_second{};
-    /*! @brief Version of the configuration in use; 0 without one. */
-    std::uint64_t config_version{};
-    store_position config_position{};
+    /*! @brief Configuration in use; version 0 without one. */
+    config_id config{};
     /*! @brief Number of the read behind `config_age`, so that receivers recognize it in later reports. */
     std::uint32_t config_read{};
     /*! @brief Time since the configuration was last known to be current. */
--- a/src/mangopulley/gateway/platform_client.cpp
+++ b/src/mangopulley/gateway/platform_client.cpp
@@ -12,6 +12,8 @@
         return "malformed";
     case platform_error::reason::missing:
         return "missing";
+    case platform_error::reason::outdated:
+        return "outdated";
     }
     return "unknown";
 }
--- a/src/mangopulley/gateway/platform_client.hpp
+++ b/src/mangopulley/gateway/platform_client.hpp
@@ -21,7 +21,9 @@
         /*! @brief The response is not the requested document. */
         malformed,
         /*! @brief The object does not exist. */
-        missing
+        missing,
+        /*! @brief The document is older than the one in use. */
+        outdated
     };
 
     reason why{reason::unreachable};
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -73,6 +73,8 @@
     std::uint64_t reads{};
     /*! @brief Newest epoch of the store that is known. */
     std::uint64_t epoch{};
+    /*! @brief Last configuration that was found to be older than the one in use. */
+    config_id last_outdated{};
     time_point started{};
     timer_id timer{};
 
@@ -118,16 +120,25 @@
             this->rule.call_timeout, [this, source](platform_result<target_list>&& outcome) {
                 this->targets.in_progress = false;
                 if (auto* list = std::get_if<target_list>(&outcome)) {
-                    this->handle_success("targets", this->targets);
-                    const auto previous_digest = this->digest;
-                    this->apply_targets(std::move(*list), source, "platform");
-                    this->deps.announce(this->inline_changes(previous_digest));
+                    this->handle_read_targets(std::move(*list), source);
                 } else {
                     this->handle_failure("targets", this->targets, std::get<platform_error>(outcome));
                 }
             });
     }
 
+    void handle_read_targets(target_list&& list, const internal::source_read& source) {
+        if (list.position < this->listed.position) {
+            const auto revision = std::to_string(list.position.revision);
+            this->handle_failure("targets", this->targets, {platform_error::reason::outdated, "revision " + revision});
+            return;
+        }
+        this->handle_success("targets", this->targets);
+        const auto previous_digest = this->digest;
+        this->apply_targets(std::move(list), source, "platform");
+        this->deps.announce(this->inline_changes(previous_digest));
+    }
+
     [[nodiscard]] std::string inline_changes(const std::uint64_t previous_digest) const {
         const auto changes =
             previous_digest == this->digest ? std::nullopt : this->history.changes_since(previous_digest, this->listed);
@@ -143,6 +154,8 @@
                 this->configs.in_progress = false;
                 if (auto* found = std::get_if<routing_config>(&outcome)) {
                     this->handle_success("config", this->configs);
+                    // Also when the version found is older, after a restore: the store has no newer one at this time.
+                    this->configs.confirm(source);
                     this->apply_config(std::move(*found), source, "platform");
                     this->deps.announce({});
                 } else {
@@ -169,7 +182,7 @@
         }
     }
 
-    /*! @brief Logs that the store was restored from a copy; it may lack what it had acknowledged before. */
+    /*! @brief Notices that the store was restored from a copy; it may lack what it had acknowledged before. */
     void observe_epoch(const store_position& position, const std::string& from) {
         const auto previous = std::exchange(this->epoch, std::max(this->epoch, position.epoch));
         if (this->epoch != previous && this->initialized()) {
@@ -177,8 +190,8 @@
                                   {{"epoch", std::to_string(this->epoch)},
                                    {"revision", std::to_string(position.revision)},
                                    {"previous_epoch", std::to_string(previous)},
-                                   {"config_version", std::to_string(this->config.version)},
-                                   {"config_revision", std::to_string(this->config.position.revision)},
+                                   {"config_version", std::to_string(this->config.id.version)},
+                                   {"config_revision", std::to_string(this->config.id.position.revision)},
                                    {"targets_revision", std::to_string(this->listed.position.revision)},
                                    {"from", from}});
         }
@@ -194,17 +207,19 @@
     }
 
     void apply_config(routing_config&& found, const internal::source_read& source, const std::string& from) {
-        this->observe_epoch(found.position, from);
-        if (found.position.revision >= this->config.position.revision) {
-            this->configs.confirm(source);
+        this->observe_epoch(found.id.position, from);
+        if (found.id < this->config.id) {
+            this->log_kept_config(found.id, from);
+            return;
         }
-        if (found.position.revision <= this->config.position.revision) {
+        this->configs.confirm(source);
+        if (found.id == this->config.id) {
             return;
         }
-        this->deps.log.change("config_changed", {{"version", std::to_string(found.version)},
-                                                 {"epoch", std::to_string(found.position.epoch)},
-                                                 {"revision", std::to_string(found.position.revision)},
-                                                 {"previous", std::to_string(this->config.version)},
+        this->deps.log.change("config_changed", {{"version", std::to_string(found.id.version)},
+                                                 {"epoch", std::to_string(found.id.position.epoch)},
+                                                 {"revision", std::to_string(found.id.position.revision)},
+                                                 {"previous", std::to_string(this->config.id.version)},
                                                  {"routes", std::to_string(found.routes.size())},
                                                  {"from", from},
                                                  {"age_ms", internal::age_text(this->now() - source.as_of)}});
@@ -212,15 +227,25 @@
         this->deps.config_changed(this->config);
     }
 
+    /*! @brief Logs, once for each, a configuration that is not taken because it is older than the one in use. */
+    void log_kept_config(const config_id& found, const std::string& from) {
+        if (std::exchange(this->last_outdated, found) != found) {
+            this->deps.log.change("config_kept", {{"version", std::to_string(this->config.id.version)},
+                                                  {"found", std::to_string(found.version)},
+                                                  {"epoch", std::to_string(found.position.epoch)},
+                                                  {"revision", std::to_string(found.position.revision)},
+                                                  {"from", from}});
+        }
+    }
+
     void apply_targets(target_list&& found, const internal::source_read& source, const std::string& from) {
         this->observe_epoch(found.position, from);
         const auto as_of = source.as_of;
-        if (this->targets.as_of &&
-            (as_of < *this->targets.as_of || found.position.revision < this->listed.position.revision)) {
+        if (this->targets.as_of && (as_of < *this->targets.as_of || found.position < this->listed.position)) {
             return;
         }
         const auto time = this->now();
-        const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
+        const bool after_outage = this->follows_outage(as_of, found.position);
         std::sort(found.targets.begin(), found.targets.end(),
                   [](const listed_target& left, const listed_target& right) { return left.id < right.id; });
         const auto next = digest_of(found);
@@ -241,6 +266,12 @@
         }
     }
 
+    /*! @brief Returns whether a list may lack entries because the store was away or was restored. */
+    [[nodiscard]] bool follows_outage(const time_point as_of, const store_position& position) const noexcept {
+        return this->targets.as_of &&
+               (as_of - *this->targets.as_of >= this->rule.outage || position.epoch > this->listed.position.epoch);
+    }
+
     void log_targets(const std::string& from, const time_point as_of, const bool after_outage) {
         const auto draining_count = std::count_if(this->listed.targets.begin(), this->listed.targets.end(),
                                                   [](const listed_target& target) { return target.draining; });
@@ -269,6 +300,8 @@
         const auto count = std::erase_if(this->missing, [time](const auto& entry) { return entry.second <= time; });
         if (count > 0U) {
             this->deps.log.change("targets_gone", {{"count", std::to_string(count)}});
+        }
+        if (count > 0U) {
             this->publish();
         }
     }
@@ -295,14 +328,14 @@
     }
 
     void receive_config(const std::string& ip, const peer_record& record, const time_point time) {
-        if (record.config_position.revision == 0U) {
+        if (record.config.version == 0U) {
             return;
         }
         const internal::source_read source{
             this->configs.reported.earliest(record.config_read, time - record.config_age, time), record.config_read};
-        if (record.config_position.revision == this->config.position.revision) {
+        if (record.config == this->config.id) {
             this->configs.confirm(source);
-        } else if (record.config_position.revision > this->config.position.revision && !this->configs.fetching) {
+        } else if (record.config > this->config.id && !this->configs.fetching) {
             this->configs.fetching = true;
             this->deps.fetch(ip, "/config", [this, source, ip](std::string&& bytes) {
                 this->configs.fetching = false;
@@ -328,12 +361,14 @@
             return;
         }
         const bool known = this->targets.as_of && record.targets_digest == this->digest;
-        const bool after_outage = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
-        if (known && !after_outage) {
+        if (known && !this->follows_outage(as_of, record.targets_position)) {
             this->targets.confirm(source);
             this->listed.position = std::max(this->listed.position, record.targets_position);
             return;
         }
+        if (record.targets_position < this->listed.position) {
+            return;
+        }
         if (this->apply_inline_changes(target_changes, source, ip) || this->targets.fetching) {
             return;
         }
@@ -392,8 +427,7 @@
 
 void platform_follower::describe(peer_record& record) const {
     const auto& state = *this->self;
-    record.config_version = state.config.version;
-    record.config_position = state.config.position;
+    record.config = state.config.id;
     record.config_read = state.configs.read_number;
     record.config_age = this->config_age();
     record.targets_position = state.targets.as_of ? state.listed.position : store_position{};
--- a/src/mangopulley/gateway/route_table.cpp
+++ b/src/mangopulley/gateway/route_table.cpp
@@ -66,7 +66,7 @@
 route_table::~route_table() = default;
 
 bool route_table::apply(routing_config config) {
-    if (config.position.revision <= this->self->config->position.revision) {
+    if (config.id <= this->self->config->id) {
         return false;
     }
     this->self->config = std::make_shared<routing_config>(std::move(config));
--- a/src/mangopulley/gateway/route_table.hpp
+++ b/src/mangopulley/gateway/route_table.hpp
@@ -22,7 +22,7 @@
 
     /**
      * @brief Activates a configuration.
-     * @param config Configuration; ignored unless its revision is newer than the active one.
+     * @param config Configuration; ignored unless its id is newer than the active one.
      * @return Whether the configuration was activated.
      */
     bool apply(routing_config config);
--- a/src/mangopulley/gateway/routing_config.hpp
+++ b/src/mangopulley/gateway/routing_config.hpp
@@ -59,19 +59,30 @@
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
-/*! @brief Routing configuration; replaced as a whole. */
-struct routing_config {
-    /*! @brief Version assigned by the operator. */
+/**
+ * @brief Identifies a configuration; older ones compare less.
+ *
+ * The operator's version comes first: it survives a restore of the store, whose revisions do not.
+ */
+struct config_id {
+    /*! @brief Version assigned by the operator; 0 before the first configuration is read. */
     std::uint64_t version{};
-    /*! @brief Position of its last change in the platform's store. */
+    /*! @brief Position of the configuration's last change in the platform's store. */
     store_position position{};
+
+    friend auto operator<=>(const config_id&, const config_id&) = default;
+};
+
+/*! @brief Routing configuration; replaced as a whole. */
+struct routing_config {
+    config_id id{};
     std::vector<route> routes{};
     std::vector<service_config> services{};
     caller_limits limits{};
 
     /*! @brief Returns whether this is a configuration that was read, not the empty one of an instance that just
      * started. */
-    [[nodiscard]] bool loaded() const noexcept { return this->position.revision != 0U; }
+    [[nodiscard]] bool loaded() const noexcept { return this->id.position.revision != 0U; }
 
     friend bool operator==(const routing_config&, const routing_config&) = default;
 };
--- a/src/mangopulley/gateway/store_position_codec.hpp
+++ b/src/mangopulley/gateway/store_position_codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../wire/message.hpp"
+#include "routing_config.hpp"
 #include "store_position.hpp"
 
 namespace mangopulley::internal {
@@ -17,4 +18,17 @@
     return position;
 }
 
+/*! @brief Writes a configuration's id as three numbers. */
+inline void write_config_id(message_writer& writer, const config_id& id) {
+    writer.number(id.version);
+    write_position(writer, id.position);
+}
+
+[[nodiscard]] inline config_id read_config_id(message_reader& reader) {
+    config_id id{};
+    id.version = reader.number();
+    id.position = read_position(reader);
+    return id;
+}
+
 } // namespace mangopulley::internal
--- a/src/mangopulley/gateway/transaction_log.cpp
+++ b/src/mangopulley/gateway/transaction_log.cpp
@@ -94,7 +94,7 @@
          {"slowness", to_decimal(transaction.first_slowdown)},
          {"reading_age_ms", to_milliseconds(std::min(transaction.first_reading_age, max_logged_age))},
          {"retry_after_ms", to_milliseconds(transaction.retry_after)},
-         {"config_version", std::to_string(transaction.config->version)}});
+         {"config_version", std::to_string(transaction.config->id.version)}});
     count_completion(transaction, status, outcome, now, metric_sink);
 }
 
--- a/test/mangopulley/gateway/document_codec.cpp
+++ b/test/mangopulley/gateway/document_codec.cpp
@@ -13,8 +13,8 @@
     routing_config config{};
 
     void setup() override {
-        config.version = 4U;
-        config.position = {2U, 9U};
+        config.id.version = 4U;
+        config.id.position = {2U, 9U};
         config.routes = {{"r1", "h", "/x/", true, milliseconds{800}, milliseconds{200}, 2U, 2U, {{"proof", 0.5}}}};
         config.services = {{"proof", "/health", 220U}};
         config.limits.body_bytes = 5'000U;
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -81,8 +81,8 @@
 
     void configure(const duration time_limit = milliseconds{1'500}, const std::uint32_t attempts = 2U) {
         routing_config config{};
-        config.position.revision = routes.current()->position.revision + 1U;
-        config.version = config.position.revision;
+        config.id.position.revision = routes.current()->id.position.revision + 1U;
+        config.id.version = config.id.position.revision;
         config.services = {{"proof", "/health", 220U}};
         config.routes = {{"get", "h", "/get/", true, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}},
                          {"put", "h", "/put/", false, time_limit, milliseconds{300}, 1U, attempts, {{"proof", 1.0}}}};
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -47,9 +47,18 @@
     }
 
     void change_config(const std::uint64_t version) {
-        this->config.version = version;
+        this->config.id.version = version;
         ++this->targets.position.revision;
-        this->config.position = this->targets.position;
+        this->config.id.position = this->targets.position;
+    }
+
+    /*! @brief Goes back to a copy of an earlier state; the revisions since are given out again. */
+    void restore(const target_list& earlier_targets, const routing_config& earlier_config) {
+        const auto epoch = this->targets.position.epoch + 1U;
+        this->targets = earlier_targets;
+        this->config = earlier_config;
+        this->targets.position.epoch = epoch;
+        this->config.id.position.epoch = epoch;
     }
 };
 
@@ -107,7 +116,7 @@
                 this->fetch(index, std::stoul(ip), path, std::move(done));
             };
             dependencies.announce = [this, index](const std::string& changes) { this->announce(index, changes); };
-            dependencies.config_changed = [&item](const routing_config& config) { item.version = config.version; };
+            dependencies.config_changed = [&item](const routing_config& config) { item.version = config.id.version; };
             dependencies.targets_changed = [&item](const target_list& list) {
                 item.usable.clear();
                 for (const auto& target : list.targets) {
@@ -211,6 +220,30 @@
         group.pass(seconds{2});
     }
 
+    bool all_have(const std::uint64_t version) {
+        return std::all_of(group.instances.begin(), group.instances.end(),
+                           [version](const auto& item) { return item.version == version; });
+    }
+
+    /*! @brief Changes the configuration from version 1 to 4, removes t2 and adds t3, then loses all of it. */
+    void lose_changes() {
+        begin();
+        const auto targets = group.platform.targets;
+        const auto config = group.platform.config;
+        group.platform.change_targets({"t1", "t2"}, "t2");
+        for (std::uint64_t version = 2U; version < 5U; ++version) {
+            group.platform.change_config(version);
+        }
+        group.pass(seconds{2});
+        group.platform.change_targets({"t1", "t3"});
+        group.pass(seconds{2});
+        CHECK_TRUE(all_have(4U));
+        group.platform.unavailable = true;
+        group.pass(seconds{1});
+        group.platform.restore(targets, config);
+        group.platform.unavailable = false;
+    }
+
     bool all_use(const std::vector<std::string>& ids) {
         for (const auto& item : group.instances) {
             if (!item.isolated && item.usable != ids) {
@@ -281,6 +314,58 @@
     CHECK_TRUE((group.instances[5].usable == std::vector<std::string>{"t1", "t3"}));
 }
 
+// Guards against a return to an older configuration, and against a new one that is taken for old, after the store was
+// restored from a copy: its revisions are given out again.
+TEST(platform_follower, follows_the_configuration_of_a_restored_store) {
+    lose_changes();
+    for (int step = 0; step < 15; ++step) {
+        group.pass(milliseconds{100});
+        CHECK_TRUE_TEXT(all_have(4U), "an acknowledged version stays in force while the store has an older one");
+    }
+    group.platform.change_config(4U);
+    group.pass(milliseconds{100});
+    group.platform.change_config(6U);
+    group.pass(seconds{2});
+    CHECK_TRUE_TEXT(all_have(6U), "a version of the restored store is in force within 2 s");
+}
+
+// Guards against an older configuration that the restored store accepts while it lacks the newest one.
+TEST(platform_follower, rejects_a_version_between_the_copy_and_the_one_in_use) {
+    lose_changes();
+    group.platform.change_config(3U);
+    group.pass(seconds{2});
+    CHECK_TRUE(all_have(4U));
+}
+
+// Guards against readers that call the store without a pause because what they read is older than what they have.
+TEST(platform_follower, bounds_its_calls_while_a_restored_store_is_behind) {
+    begin();
+    const auto before = group.platform.calls;
+    group.pass(seconds{5});
+    const auto calm = group.platform.calls - before;
+    const auto targets = group.platform.targets;
+    const auto config = group.platform.config;
+    for (std::uint64_t version = 2U; version < 5U; ++version) {
+        group.platform.change_targets({"t1"});
+        group.platform.change_config(version);
+        group.pass(seconds{2});
+    }
+    for (const bool tells_epoch : {true, false}) {
+        const auto epoch = group.platform.targets.position.epoch;
+        group.platform.restore(targets, config);
+        if (!tells_epoch) {
+            group.platform.targets.position.epoch = epoch;
+            group.platform.config.id.position.epoch = epoch;
+        }
+        const auto restored = group.platform.calls;
+        group.pass(seconds{5});
+        const auto calls = group.platform.calls - restored;
+        // Without an epoch each reader finds a list that is too old, and pauses as after a failed call.
+        const auto pauses = group.instances.size() * (seconds{5} / follower_rule{}.retry_pause);
+        CHECK_TRUE_TEXT(calls <= (tells_epoch ? 3U * calm : pauses), "calls in 5 s after the restore");
+    }
+}
+
 // Guards against losing all targets when their entries expire during an outage of the platform, and against using a
 // target that does not register again.
 TEST(platform_follower, keeps_targets_whose_entries_expired_in_an_outage) {
--- a/test/mangopulley/gateway/route_table.cpp
+++ b/test/mangopulley/gateway/route_table.cpp
@@ -22,8 +22,8 @@
 
 [[nodiscard]] routing_config make_config(const std::uint64_t revision) {
     routing_config config{};
-    config.version = revision;
-    config.position.revision = revision;
+    config.id.version = revision;
+    config.id.position.revision = revision;
     config.routes = {make_route("a.example", "/", "root"), make_route("a.example", "/x/", "short"),
                      make_route("a.example", "/x/y/", "long")};
     return config;
@@ -59,6 +59,19 @@
     STRCMP_EQUAL("long", service_of("a.example", "/x/y/").c_str());
 }
 
+// Guards against a restored store whose revisions, given out again, make a new version look old or an old one look new.
+TEST(route_table, orders_configurations_by_version_across_restores) {
+    auto config = make_config(5U);
+    config.id.position = {1U, 50U};
+    CHECK_TRUE(table.apply(config));
+    config.id = {4U, {2U, 60U}};
+    CHECK_FALSE(table.apply(config));
+    config.id = {5U, {2U, 40U}};
+    CHECK_TRUE_TEXT(table.apply(config), "the same version written again may differ");
+    config.id = {6U, {2U, 41U}};
+    CHECK_TRUE(table.apply(config));
+}
+
 // Guards against shares that drift from the weights at any time, also after an unrelated configuration change.
 TEST(route_table, distributes_a_split_by_weight) {
     auto config = make_config(1U);
@@ -71,7 +84,7 @@
         CHECK_TRUE(std::abs(counts["first"] - number * 0.7) <= 1.0);
         CHECK_TRUE(std::abs(counts["second"] - number * 0.2) <= 1.0);
         if (number == 500) {
-            config.position.revision = 2U;
+            config.id.position.revision = 2U;
             config.routes.front().parts = {{"other", 1.0}};
             CHECK_TRUE(table.apply(config));
         }
--- a/test/platform/record_decoder.cpp
+++ b/test/platform/record_decoder.cpp
@@ -99,8 +99,8 @@
         R"("limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_s":3,"idle_timeout_s":15.5},)"
         R"("later_field":{}})"));
     CHECK_TRUE(decoded.has_value());
-    LONGS_EQUAL(5, decoded->version);
-    LONGS_EQUAL(7, decoded->position.revision);
+    LONGS_EQUAL(5, decoded->id.version);
+    LONGS_EQUAL(7, decoded->id.position.revision);
     const auto& first = decoded->routes.front();
     CHECK_TRUE(first.idempotent);
     CHECK_TRUE(first.time_limit == milliseconds{800});
