Exclude targets that left before the store was restored from a copy

Callers would see: requests sent to a target that drained or left some seconds before; the copy lists it as ready until its entry expires.

Cause: the list was taken at its word, and nothing remembered what had left. Each instance now remembers for two minutes which incarnations drained or were removed. For 6 s after a restore, longer than an entry lives that nobody renews, those that left before are not used though the list has them. A new incarnation of the same id and a target that registered again are used at once.

--- a/src/mangopulley/gateway/fwd.hpp
+++ b/src/mangopulley/gateway/fwd.hpp
@@ -4,6 +4,7 @@
 
 class async_http_server;
 class channel_pool;
+class departed_targets;
 class dialect;
 class fleet;
 class forwarder;
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "../core/fnv_hash.hpp"
+#include "departed_targets.hpp"
 #include "document_codec.hpp"
 #include "read_time_tracker.hpp"
 #include "target_history.hpp"
@@ -70,6 +71,7 @@
     internal::document_state configs{};
     /*! @brief Targets missing since an outage, and until when they are still used. */
     std::vector<std::pair<listed_target, time_point>> missing{};
+    departed_targets departed{};
     std::uint64_t reads{};
     /*! @brief Newest epoch of the store that is known. */
     std::uint64_t epoch{};
@@ -186,6 +188,7 @@
     void observe_epoch(const store_position& position, const std::string& from) {
         const auto previous = std::exchange(this->epoch, std::max(this->epoch, position.epoch));
         if (this->epoch != previous && this->initialized()) {
+            this->departed.begin_exclusion(this->now());
             this->deps.log.change("store_restored",
                                   {{"epoch", std::to_string(this->epoch)},
                                    {"revision", std::to_string(position.revision)},
@@ -253,6 +256,9 @@
         if (after_outage) {
             this->retain_missing(found, time + this->rule.return_grace);
         }
+        if (changed) {
+            this->departed.record(this->listed, found, time);
+        }
         this->targets.as_of = as_of;
         this->targets.read_number = source.number;
         this->listed = std::move(found);
@@ -290,7 +296,7 @@
         for (const auto& known : this->listed.targets) {
             const bool present = std::any_of(found.targets.begin(), found.targets.end(),
                                              [&known](const listed_target& target) { return target.id == known.id; });
-            if (!present && !known.draining) {
+            if (!present && !known.draining && !this->departed.excludes(known)) {
                 this->missing.emplace_back(known, until);
             }
         }
@@ -301,13 +307,14 @@
         if (count > 0U) {
             this->deps.log.change("targets_gone", {{"count", std::to_string(count)}});
         }
-        if (count > 0U) {
+        if (this->departed.end_exclusion(time) || count > 0U) {
             this->publish();
         }
     }
 
     void publish() {
         auto view = this->listed;
+        std::erase_if(view.targets, [this](const listed_target& target) { return this->departed.excludes(target); });
         std::erase_if(this->missing, [&view](const auto& entry) {
             return std::any_of(view.targets.begin(), view.targets.end(), [&entry](const listed_target& target) {
                 return target.id == entry.first.id || target.endpoint == entry.first.endpoint;
--- a/src/mangopulley/gateway/routing_config.hpp
+++ b/src/mangopulley/gateway/routing_config.hpp
@@ -70,7 +70,8 @@
     /*! @brief Position of the configuration's last change in the platform's store. */
     store_position position{};
 
-    friend auto operator<=>(const config_id&, const config_id&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check mistakes the generated comparison with zero for a null pointer.
+    friend constexpr auto operator<=>(const config_id&, const config_id&) noexcept = default;
 };
 
 /*! @brief Routing configuration; replaced as a whole. */
--- a/src/mangopulley/gateway/store_position.hpp
+++ b/src/mangopulley/gateway/store_position.hpp
@@ -15,7 +15,8 @@
     std::uint64_t epoch{};
     std::uint64_t revision{};
 
-    friend auto operator<=>(const store_position&, const store_position&) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check mistakes the generated comparison with zero for a null pointer.
+    friend constexpr auto operator<=>(const store_position&, const store_position&) noexcept = default;
 };
 
 } // namespace mangopulley
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -337,6 +337,26 @@
     CHECK_TRUE(all_have(4U));
 }
 
+// Guards against requests to targets that left before the store was restored, against losing those that joined since
+// the copy, and against ignoring the list until its revision has caught up.
+TEST(platform_follower, follows_the_targets_of_a_restored_store) {
+    lose_changes();
+    for (int step = 0; step < 15; ++step) {
+        group.pass(milliseconds{100});
+        CHECK_TRUE_TEXT(all_use({"t1", "t3"}), "the list of the copy changes nothing at first");
+    }
+    group.platform.change_targets({"t1", "t2", "t3"}, "t1");
+    group.pass(milliseconds{1'900});
+    CHECK_TRUE_TEXT(all_use({"t3"}), "a target that drains after the restore is not used");
+}
+
+// Guards against a target that is lost for good because its entry had lapsed before the store was restored.
+TEST(platform_follower, uses_a_departed_target_that_a_restored_store_keeps_listing) {
+    lose_changes();
+    group.pass(seconds{9});
+    CHECK_TRUE(all_use({"t1", "t2"}));
+}
+
 // Guards against readers that call the store without a pause because what they read is older than what they have.
 TEST(platform_follower, bounds_its_calls_while_a_restored_store_is_behind) {
     begin();
