Give a caller's connection and its exchange files of their own

Cause: async_http_server.cpp had 600 lines and three jobs: the server, a caller's connection, and the exchange a handler sees. TODO listed it. Change: caller_connection and port_exchange moved to files of their own in mangopulley::internal; what a server shares with its connections is the struct server_context, passed to the constructor. http_server_exchange and request_rejection have headers of their own, so that the connection does not include the server; async_http_server.hpp still includes both.

--- a/src/mangopulley/gateway/fwd.hpp
+++ b/src/mangopulley/gateway/fwd.hpp
@@ -8,6 +8,7 @@
 class fleet;
 class forwarder;
 class gateway_process;
+class http_server_exchange;
 class platform_client;
 class platform_follower;
 class fleet_retry_budget;
@@ -16,6 +17,7 @@
 class target_pool;
 struct listed_target;
 struct load_reading;
+struct request_rejection;
 struct routing_config;
 struct target_list;
 
--- /dev/null
+++ b/src/mangopulley/gateway/port_exchange.cpp
@@ -0,0 +1,84 @@
+#include "port_exchange.hpp"
+
+#include <utility>
+
+#include "caller_connection.hpp"
+
+namespace mangopulley::internal {
+
+port_exchange::port_exchange(std::weak_ptr<caller_connection> owner, http_request&& received, const bool body_complete)
+    : connection{std::move(owner)}, content{std::move(received)}, whole{body_complete} {}
+
+const http_request& port_exchange::request() const noexcept {
+    return this->content;
+}
+
+bool port_exchange::body_held() const noexcept {
+    return this->whole;
+}
+
+void port_exchange::read_body(body_reader reader) {
+    const auto source = this->connection.lock();
+    if (!source) {
+        return;
+    }
+    if (!reader) {
+        source->read_body({});
+        return;
+    }
+    source->read_body([held = this->weak_from_this(), reader = std::move(reader)](body_part&& part) {
+        if (const auto exchange = held.lock()) {
+            exchange->content.body = {};
+            reader(std::move(part));
+        }
+    });
+}
+
+void port_exchange::respond(const std::string_view status_and_fields, const std::string_view body,
+                            const bool bodiless) {
+    if (const auto source = this->connection.lock()) {
+        this->connection.reset();
+        source->respond(status_and_fields, body, bodiless);
+    }
+}
+
+void port_exchange::respond(const http_reply& reply) {
+    if (const auto source = this->connection.lock()) {
+        this->connection.reset();
+        source->respond(reply);
+    }
+}
+
+void port_exchange::begin_response(const std::string_view status_and_fields, const std::optional<std::size_t> length) {
+    if (const auto source = this->connection.lock()) {
+        source->begin_response(status_and_fields, length);
+    }
+}
+
+void port_exchange::send_body(const body_part& part) {
+    if (const auto source = this->connection.lock()) {
+        if (part.position != body_part::state::more) {
+            this->connection.reset();
+        }
+        source->send_body(part);
+    }
+}
+
+bool port_exchange::all_sent() const noexcept {
+    const auto source = this->connection.lock();
+    return !source || source->all_sent();
+}
+
+void port_exchange::on_sent(std::function<void()> listener) {
+    if (const auto source = this->connection.lock()) {
+        source->set_sent_listener(std::move(listener));
+    }
+}
+
+void port_exchange::on_disconnect(std::function<void()> listener) {
+    if (const auto source = this->connection.lock()) {
+        source->set_disconnect_listener(std::move(listener));
+    }
+}
+
+} // namespace mangopulley::internal
--- /dev/null
+++ b/src/mangopulley/gateway/port_exchange.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "../http/body_part.hpp"
+#include "../http/http_message.hpp"
+#include "http_server_exchange.hpp"
+
+namespace mangopulley::internal {
+
+class caller_connection;
+
+/*! @brief Request of a caller's connection; its calls do nothing once the connection is closed. */
+class port_exchange final : public http_server_exchange, public std::enable_shared_from_this<port_exchange> {
+public:
+    port_exchange(std::weak_ptr<caller_connection> owner, http_request&& received, bool body_complete);
+
+    [[nodiscard]] const http_request& request() const noexcept override;
+    [[nodiscard]] bool body_held() const noexcept override;
+    void read_body(body_reader reader) override;
+    void respond(std::string_view status_and_fields, std::string_view body, bool bodiless) override;
+    void respond(const http_reply& reply) override;
+    void begin_response(std::string_view status_and_fields, std::optional<std::size_t> length) override;
+    void send_body(const body_part& part) override;
+    [[nodiscard]] bool all_sent() const noexcept override;
+    void on_sent(std::function<void()> listener) override;
+    void on_disconnect(std::function<void()> listener) override;
+
+private:
+    std::weak_ptr<caller_connection> connection;
+    http_request content;
+    bool whole;
+};
+
+} // namespace mangopulley::internal
