--- a/test/mangopulley/gateway/async_http_server.cpp
+++ b/test/mangopulley/gateway/async_http_server.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include <fake/await.hpp>
 #include <fake/raw_peer.hpp>
 #include <mangopulley/gateway/async_http_server.hpp>
 #include <mangopulley/http/chunk.hpp>
@@ -14,7 +15,6 @@
 
 using namespace mangopulley;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
@@ -33,6 +33,11 @@
     std::unique_ptr<stream> caller{};
     std::string received{};
     bool closed{};
+    fake::awaiter await{loop, [this] {
+                            if (server) {
+                                server->expire();
+                            }
+                        }};
 
     void setup() override {
         limits.accept_chunked = true;
@@ -65,18 +70,6 @@
             [] { FAIL("no connection"); });
     }
 
-    template <typename Condition>
-    void await(Condition condition) {
-        const auto deadline = time.now() + seconds{10};
-        while (!condition() && time.now() < deadline) {
-            loop.turn(milliseconds{5});
-            if (server) {
-                server->expire();
-            }
-        }
-        CHECK_TRUE(condition());
-    }
-
     /*! @brief Reads the rest of the first request's body. */
     void read_all(std::string & body, bool& complete) {
         exchanges.front()->read_body([this, &body, &complete](body_part&& part) {
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include <fake/await.hpp>
 #include <fake/loopback_target.hpp>
 #include <fake/plain_dialect.hpp>
 #include <fake/raw_peer.hpp>
@@ -51,6 +52,7 @@
     std::unique_ptr<async_http_server> server{};
     std::vector<std::unique_ptr<loopback_target>> targets{};
     std::vector<std::unique_ptr<http_channel>> callers{};
+    fake::awaiter await{loop};
 
     void setup() override {
         subject = std::make_unique<forwarder>(forwarder::dependencies{loop, dialect, routes, metric_sink, log},
@@ -115,16 +117,6 @@
         };
     }
 
-    /*! @brief Runs the loop until a condition holds; fails the test after 10 s. */
-    template <typename Condition>
-    void await(Condition condition) {
-        const auto deadline = time.now() + seconds{10};
-        while (!condition() && time.now() < deadline) {
-            loop.turn(milliseconds{5});
-        }
-        CHECK_TRUE(condition());
-    }
-
     std::shared_ptr<caller_result> send_request(const std::string& method, const std::string& path,
                                                 const std::string& fields, const std::string& body = {}) {
         auto result = std::make_shared<caller_result>();
--- a/test/mangopulley/http/http_channel.cpp
+++ b/test/mangopulley/http/http_channel.cpp
@@ -2,6 +2,7 @@
 #include <optional>
 #include <string>
 
+#include <fake/await.hpp>
 #include <fake/raw_peer.hpp>
 #include <mangopulley/http/http_channel.hpp>
 
@@ -9,7 +10,6 @@
 
 using namespace mangopulley;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
@@ -27,6 +27,7 @@
     std::optional<exchange_outcome> outcome{};
     std::string body{};
     std::optional<body_part::state> end{};
+    fake::awaiter await{loop};
 
     void teardown() override {
         channel.reset();
@@ -47,15 +48,6 @@
                       [this](exchange_outcome&& seen) { outcome.emplace(std::move(seen)); });
     }
 
-    template <typename Condition>
-    void await(Condition condition) {
-        const auto deadline = time.now() + seconds{10};
-        while (!condition() && time.now() < deadline) {
-            loop.turn(milliseconds{5});
-        }
-        CHECK_TRUE(condition());
-    }
-
     void pass(const int turns) {
         for (int turn = 0; turn < turns; ++turn) {
             loop.turn(milliseconds{1});
--- a/test/mangopulley/loop/stream.cpp
+++ b/test/mangopulley/loop/stream.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 #include <string>
 
+#include <fake/await.hpp>
 #include <fake/raw_peer.hpp>
 #include <mangopulley/loop/event_loop.hpp>
 #include <mangopulley/loop/stream.hpp>
@@ -10,7 +11,6 @@
 
 using namespace mangopulley;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
@@ -21,6 +21,7 @@
 TEST_GROUP(stream) {
     system_clock_source time{};
     event_loop loop{time};
+    fake::awaiter await{loop};
     std::unique_ptr<stream> sender{};
     std::unique_ptr<stream> reader{};
     std::string received{};
@@ -57,15 +58,6 @@
         reader = std::make_unique<stream>(loop, socket, stream_timing{}, std::move(events));
         reader->pause_reading(true);
     }
-
-    template <typename Condition>
-    void await(Condition condition) {
-        const auto deadline = time.now() + seconds{10};
-        while (!condition() && time.now() < deadline) {
-            loop.turn(milliseconds{5});
-        }
-        CHECK_TRUE(condition());
-    }
 };
 
 // Guards against a connection that is given up because its peer reads slowly: a full socket buffer is no error.
