Serve the operators' page from a class of its own

Change: operator_service answers operators, beside directory_service and peer_service; the parts whose state it shows come through its constructor. The text of the answers is unchanged. Trial, the gateway before and after with the same settings and no store: /state with the same members and values apart from the random incarnation, /metrics with the same series, the same 404.

--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -7,7 +7,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
-#include <nlohmann/json.hpp>
 
 #include "../core/incarnation_id.hpp"
 #include "../core/registry.hpp"
@@ -19,6 +18,7 @@
 #include "fleet.hpp"
 #include "forwarder.hpp"
 #include "load_sharing.hpp"
+#include "operator_service.hpp"
 #include "peer_fetcher.hpp"
 #include "peer_service.hpp"
 #include "platform_adapter.hpp"
@@ -121,9 +121,10 @@
     async_http_server directory{this->loop, this->configuration.directory_endpoint, this->body_memory,
                                 [] { return http_limits{}; },
                                 [this](const auto& exchange) { this->addresses.answer_query(*exchange); }};
+    operator_service operator_page{this->operator_dependencies()};
     async_http_server operators{this->loop, this->configuration.operator_endpoint, this->body_memory,
                                 [] { return http_limits{}; },
-                                [this](const auto& exchange) { this->answer_operator(*exchange); }};
+                                [this](const auto& exchange) { this->operator_page.answer(*exchange); }};
     async_http_server peers{this->loop, this->peer_endpoint(this->configuration.ip), this->body_memory,
                             [] { return http_limits{}; },
                             [this](const auto& exchange) { this->peer_documents.answer(*exchange); }};
@@ -244,6 +245,21 @@
         return static_cast<double>(this->incarnation % steps) / static_cast<double>(steps);
     }
 
+    [[nodiscard]] operator_service::dependencies operator_dependencies() {
+        return {this->configuration.instance_name,
+                this->incarnation,
+                this->exported_metrics,
+                this->log,
+                *this->platform.store,
+                this->follower,
+                this->members,
+                this->requests,
+                this->callers,
+                this->body_memory,
+                [this] { return this->ready(); },
+                [this] { return this->stopping; }};
+    }
+
     [[nodiscard]] std::vector<known_instance> known_instances() const {
         auto known = this->members.members();
         known.push_back({this->describe_self(), duration::zero()});
@@ -299,43 +315,6 @@
         this->exported_metrics.count("requests_rejected_total{status=\"" + status + "\"}");
     }
 
-    void answer_operator(http_server_exchange& exchange) {
-        const auto& path = exchange.request().path;
-        if (path == "/metrics") {
-            auto reply = text_reply(200, this->exported_metrics.text());
-            reply.content_type = "text/plain; version=0.0.4";
-            exchange.respond(reply);
-        } else if (path == "/state") {
-            http_reply reply{};
-            reply.body = this->describe().dump();
-            exchange.respond(reply);
-        } else {
-            exchange.respond(text_reply(404, "paths: /state /metrics\n"));
-        }
-    }
-
-    [[nodiscard]] nlohmann::json describe() const {
-        auto leaders = nlohmann::json::array();
-        for (const auto& record : this->members.leaders()) {
-            leaders.push_back({{"name", record.identity.name}, {"config_revision", record.config_revision}});
-        }
-        return {{"instance", this->configuration.instance_name},
-                {"incarnation", this->incarnation},
-                {"ready", this->ready()},
-                {"stopping", this->stopping},
-                {"config_version", this->follower.config().version},
-                {"config_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.config_age()).count()},
-                {"targets_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.targets_age()).count()},
-                {"platform_calls", this->platform.store->calls()},
-                {"caller_connections", this->callers.connections()},
-                {"body_memory_bytes", this->body_memory.reserved()},
-                {"body_memory_capacity_bytes", this->body_memory.capacity()},
-                {"log_lines_dropped", this->log.dropped()},
-                {"known_instances", this->members.size()},
-                {"leaders", std::move(leaders)},
-                {"forwarding", this->requests.describe()}};
-    }
-
     // Settings
 
     void apply_settings() {
