Reload settings in a class of its own, with a test

Cause: gateway_process.cpp also compared, parsed and judged the settings' text, which no unit test reached. Change: settings_reloader reads the text and passes on valid changes; the process says which settings it takes over. Behaviour and log lines are unchanged.

--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -24,6 +24,7 @@
 #include "platform_adapter.hpp"
 #include "platform_follower.hpp"
 #include "route_table.hpp"
+#include "settings_reloader.hpp"
 #include "transaction_log.hpp"
 
 namespace mangopulley {
@@ -75,10 +76,8 @@
 struct gateway_process::implementation {
     gateway_settings configuration;
     const clock& time;
-    std::function<std::string()> read_settings;
     instance_identity identity{this->make_identity()};
     std::uint64_t incarnation{incarnation_id::generate().value()};
-    std::string settings_text{};
     std::atomic<bool> stop_requested{};
     std::atomic<bool> reload_requested{};
     bool stopping{};
@@ -128,12 +127,13 @@
     async_http_server peers{this->loop, this->peer_endpoint(this->configuration.ip), this->body_memory,
                             [] { return http_limits{}; },
                             [this](const auto& exchange) { this->peer_documents.answer(*exchange); }};
+    settings_reloader settings;
 
     implementation(gateway_settings values, const clock& source, std::function<std::string()> reader,
                    const platform_factory& factory)
-        : configuration{std::move(values)}, time{source},
-          read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
-        this->settings_text = this->read_settings();
+        : configuration{std::move(values)}, time{source}, platform{factory(this->loop,
+                                                                           this->configuration.store_endpoint)},
+          settings{this->log, std::move(reader), [this](const gateway_settings& changed) { this->adopt(changed); }} {
         this->callers.on_rejection([this](const request_rejection& rejection) { this->log_rejection(rejection); });
         this->requests.on_load_change([this](const std::uint32_t key, const std::uint32_t in_flight) {
             this->loads.record_in_flight(key, in_flight);
@@ -334,35 +334,16 @@
             this->configuration.probes_per_target * internal::usable_probe_share * this->loads.own_share());
     }
 
-    void reload() {
-        auto text = this->read_settings();
-        if (text.empty() || text == this->settings_text) {
-            return;
-        }
-        this->settings_text = std::move(text);
-        boost::leaf::try_handle_all(
-            [this]() -> result<void> {
-                BOOST_LEAF_AUTO(parsed, parse_gateway_settings("settings", this->settings_text));
-                this->configuration.seeds = parsed.seeds;
-                this->configuration.retry_ratio = parsed.retry_ratio;
-                this->configuration.retry_slack = parsed.retry_slack;
-                this->configuration.retry_window = parsed.retry_window;
-                this->configuration.probes_per_target = parsed.probes_per_target;
-                this->configuration.stop_time = parsed.stop_time;
-                this->configuration.max_address_lifetime = parsed.max_address_lifetime;
-                this->apply_settings();
-                this->log.change("settings_reloaded", {{"seeds", std::to_string(parsed.seeds.size())}});
-                return {};
-            },
-            [this](const input_error& error) {
-                this->log.change("settings_rejected", {{"field", error.field},
-                                                       {"line", std::to_string(error.line)},
-                                                       {"found", error.found},
-                                                       {"expected", error.expected}});
-            },
-            [this] {
-                this->log.change("settings_rejected", {{"field", "unknown"}});
-            });
+    /*! @brief Takes over the settings that can change while the process runs. */
+    void adopt(const gateway_settings& changed) {
+        this->configuration.seeds = changed.seeds;
+        this->configuration.retry_ratio = changed.retry_ratio;
+        this->configuration.retry_slack = changed.retry_slack;
+        this->configuration.retry_window = changed.retry_window;
+        this->configuration.probes_per_target = changed.probes_per_target;
+        this->configuration.stop_time = changed.stop_time;
+        this->configuration.max_address_lifetime = changed.max_address_lifetime;
+        this->apply_settings();
     }
 
     // Lifecycle
@@ -370,7 +351,7 @@
     void watch_signals() {
         if (this->reload_requested.exchange(false)) {
             this->log.change("reload_requested", {});
-            this->reload();
+            this->settings.reload();
         }
         if (this->stop_requested.load() && !this->stopping) {
             this->begin_stop();
@@ -414,7 +395,7 @@
         this->loop.every(internal::signal_period, [this] { this->watch_signals(); });
         this->loop.every(internal::measure_period, [this] { this->measure(); });
         this->loop.every(internal::settings_period, [this] {
-            this->reload();
+            this->settings.reload();
             this->share_budgets();
         });
         this->loop.every(internal::expiry_period, [this] {
--- /dev/null
+++ b/test/mangopulley/gateway/settings_reloader.cpp
@@ -0,0 +1,59 @@
+#include <string>
+#include <vector>
+
+#include <mangopulley/gateway/settings_reloader.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+
+TEST_GROUP(settings_reloader) {
+    system_clock_source time{};
+    decision_log log{"test", time, 1'000.0};
+    std::string text{settings("0.1")};
+    std::vector<gateway_settings> changes{};
+    settings_reloader subject{log, [this] { return text; },
+                              [this](const gateway_settings& changed) { changes.push_back(changed); }};
+
+    static std::string settings(const std::string& ratio) {
+        return "instance: {name: a, ip: 127.0.0.1, zone: z, region: r}\n"
+               "listen: {callers: '127.0.0.1:1', readiness: '127.0.0.1:2', directory: '127.0.0.1:3', "
+               "operators: '127.0.0.1:4'}\n"
+               "peers: {port: 5, seeds: ['127.0.0.2:5']}\n"
+               "platform: {store: '127.0.0.1:6'}\n"
+               "bounds: {repeat_ratio: " +
+               ratio + "}\n";
+    }
+
+    void change_to(const std::string& changed) {
+        text = changed;
+        subject.reload();
+    }
+};
+
+// Guards against settings that take effect only after a restart, or again at each reading.
+TEST(settings_reloader, passes_on_each_change_once) {
+    subject.reload();
+    LONGS_EQUAL(0, changes.size());
+    change_to(settings("0.3"));
+    subject.reload();
+    LONGS_EQUAL(1, changes.size());
+    DOUBLES_EQUAL(0.3, changes.back().retry_ratio, 1e-9);
+    LONGS_EQUAL(1, changes.back().seeds.size());
+    change_to(settings("0.1"));
+    LONGS_EQUAL(2, changes.size());
+    DOUBLES_EQUAL(0.1, changes.back().retry_ratio, 1e-9);
+}
+
+// Guards against a file that is missing or half written for a moment and replaces the settings in use.
+TEST(settings_reloader, keeps_the_settings_when_a_text_is_empty_or_invalid) {
+    change_to({});
+    change_to(settings("0.1"));
+    LONGS_EQUAL(0, changes.size());
+    change_to(settings("no number"));
+    change_to(settings("0.3").substr(0U, 80U));
+    LONGS_EQUAL(0, changes.size());
+    change_to(settings("0.3"));
+    LONGS_EQUAL(1, changes.size());
+    DOUBLES_EQUAL(0.3, changes.back().retry_ratio, 1e-9);
+}
