--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -7,7 +7,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
-#include <nlohmann/json.hpp>
 
 #include "../core/incarnation_id.hpp"
 #include "../core/registry.hpp"
@@ -19,11 +18,13 @@
 #include "fleet.hpp"
 #include "forwarder.hpp"
 #include "load_sharing.hpp"
+#include "operator_service.hpp"
 #include "peer_fetcher.hpp"
 #include "peer_service.hpp"
 #include "platform_adapter.hpp"
 #include "platform_follower.hpp"
 #include "route_table.hpp"
+#include "settings_reloader.hpp"
 #include "transaction_log.hpp"
 
 namespace mangopulley {
@@ -75,10 +76,8 @@
 struct gateway_process::implementation {
     gateway_settings configuration;
     const clock& time;
-    std::function<std::string()> read_settings;
     instance_identity identity{this->make_identity()};
     std::uint64_t incarnation{incarnation_id::generate().value()};
-    std::string settings_text{};
     std::atomic<bool> stop_requested{};
     std::atomic<bool> reload_requested{};
     bool stopping{};
@@ -121,18 +120,20 @@
     async_http_server directory{this->loop, this->configuration.directory_endpoint, this->body_memory,
                                 [] { return http_limits{}; },
                                 [this](const auto& exchange) { this->addresses.answer_query(*exchange); }};
+    operator_service operator_page{this->operator_dependencies()};
     async_http_server operators{this->loop, this->configuration.operator_endpoint, this->body_memory,
                                 [] { return http_limits{}; },
-                                [this](const auto& exchange) { this->answer_operator(*exchange); }};
+                                [this](const auto& exchange) { this->operator_page.answer(*exchange); }};
     async_http_server peers{this->loop, this->peer_endpoint(this->configuration.ip), this->body_memory,
                             [] { return http_limits{}; },
                             [this](const auto& exchange) { this->peer_documents.answer(*exchange); }};
+    settings_reloader settings;
 
     implementation(gateway_settings values, const clock& source, std::function<std::string()> reader,
                    const platform_factory& factory)
-        : configuration{std::move(values)}, time{source},
-          read_settings{std::move(reader)}, platform{factory(this->loop, this->configuration.store_endpoint)} {
-        this->settings_text = this->read_settings();
+        : configuration{std::move(values)}, time{source}, platform{factory(this->loop,
+                                                                           this->configuration.store_endpoint)},
+          settings{this->log, std::move(reader), [this](const gateway_settings& changed) { this->adopt(changed); }} {
         this->callers.on_rejection([this](const request_rejection& rejection) { this->log_rejection(rejection); });
         this->requests.on_load_change([this](const std::uint32_t key, const std::uint32_t in_flight) {
             this->loads.record_in_flight(key, in_flight);
@@ -244,6 +245,21 @@
         return static_cast<double>(this->incarnation % steps) / static_cast<double>(steps);
     }
 
+    [[nodiscard]] operator_service::dependencies operator_dependencies() {
+        return {this->configuration.instance_name,
+                this->incarnation,
+                this->exported_metrics,
+                this->log,
+                *this->platform.store,
+                this->follower,
+                this->members,
+                this->requests,
+                this->callers,
+                this->body_memory,
+                [this] { return this->ready(); },
+                [this] { return this->stopping; }};
+    }
+
     [[nodiscard]] std::vector<known_instance> known_instances() const {
         auto known = this->members.members();
         known.push_back({this->describe_self(), duration::zero()});
@@ -299,43 +315,6 @@
         this->exported_metrics.count("requests_rejected_total{status=\"" + status + "\"}");
     }
 
-    void answer_operator(http_server_exchange& exchange) {
-        const auto& path = exchange.request().path;
-        if (path == "/metrics") {
-            auto reply = text_reply(200, this->exported_metrics.text());
-            reply.content_type = "text/plain; version=0.0.4";
-            exchange.respond(reply);
-        } else if (path == "/state") {
-            http_reply reply{};
-            reply.body = this->describe().dump();
-            exchange.respond(reply);
-        } else {
-            exchange.respond(text_reply(404, "paths: /state /metrics\n"));
-        }
-    }
-
-    [[nodiscard]] nlohmann::json describe() const {
-        auto leaders = nlohmann::json::array();
-        for (const auto& record : this->members.leaders()) {
-            leaders.push_back({{"name", record.identity.name}, {"config_version", record.config.version}});
-        }
-        return {{"instance", this->configuration.instance_name},
-                {"incarnation", this->incarnation},
-                {"ready", this->ready()},
-                {"stopping", this->stopping},
-                {"config_version", this->follower.config().id.version},
-                {"config_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.config_age()).count()},
-                {"targets_age_ms", std::chrono::duration_cast<milliseconds>(this->follower.targets_age()).count()},
-                {"platform_calls", this->platform.store->calls()},
-                {"caller_connections", this->callers.connections()},
-                {"body_memory_bytes", this->body_memory.reserved()},
-                {"body_memory_capacity_bytes", this->body_memory.capacity()},
-                {"log_lines_dropped", this->log.dropped()},
-                {"known_instances", this->members.size()},
-                {"leaders", std::move(leaders)},
-                {"forwarding", this->requests.describe()}};
-    }
-
     // Settings
 
     void apply_settings() {
@@ -355,35 +334,16 @@
             this->configuration.probes_per_target * internal::usable_probe_share * this->loads.own_share());
     }
 
-    void reload() {
-        auto text = this->read_settings();
-        if (text.empty() || text == this->settings_text) {
-            return;
-        }
-        this->settings_text = std::move(text);
-        boost::leaf::try_handle_all(
-            [this]() -> result<void> {
-                BOOST_LEAF_AUTO(parsed, parse_gateway_settings("settings", this->settings_text));
-                this->configuration.seeds = parsed.seeds;
-                this->configuration.retry_ratio = parsed.retry_ratio;
-                this->configuration.retry_slack = parsed.retry_slack;
-                this->configuration.retry_window = parsed.retry_window;
-                this->configuration.probes_per_target = parsed.probes_per_target;
-                this->configuration.stop_time = parsed.stop_time;
-                this->configuration.max_address_lifetime = parsed.max_address_lifetime;
-                this->apply_settings();
-                this->log.change("settings_reloaded", {{"seeds", std::to_string(parsed.seeds.size())}});
-                return {};
-            },
-            [this](const input_error& error) {
-                this->log.change("settings_rejected", {{"field", error.field},
-                                                       {"line", std::to_string(error.line)},
-                                                       {"found", error.found},
-                                                       {"expected", error.expected}});
-            },
-            [this] {
-                this->log.change("settings_rejected", {{"field", "unknown"}});
-            });
+    /*! @brief Takes over the settings that can change while the process runs. */
+    void adopt(const gateway_settings& changed) {
+        this->configuration.seeds = changed.seeds;
+        this->configuration.retry_ratio = changed.retry_ratio;
+        this->configuration.retry_slack = changed.retry_slack;
+        this->configuration.retry_window = changed.retry_window;
+        this->configuration.probes_per_target = changed.probes_per_target;
+        this->configuration.stop_time = changed.stop_time;
+        this->configuration.max_address_lifetime = changed.max_address_lifetime;
+        this->apply_settings();
     }
 
     // Lifecycle
@@ -391,7 +351,7 @@
     void watch_signals() {
         if (this->reload_requested.exchange(false)) {
             this->log.change("reload_requested", {});
-            this->reload();
+            this->settings.reload();
         }
         if (this->stop_requested.load() && !this->stopping) {
             this->begin_stop();
@@ -435,7 +395,7 @@
         this->loop.every(internal::signal_period, [this] { this->watch_signals(); });
         this->loop.every(internal::measure_period, [this] { this->measure(); });
         this->loop.every(internal::settings_period, [this] {
-            this->reload();
+            this->settings.reload();
             this->share_budgets();
         });
         this->loop.every(internal::expiry_period, [this] {
