Decide by what was in use which targets a restored store lists by mistake

Callers would see: requests sent to a target that had left, if the store went away again within 6 s after a restore, or at an instance that had started after the departure; and targets that vanished for 6 s although they had registered again, when a second restore followed at once.

Cause: departures were remembered by local times and compared with the time of the restore; only departures that the instance saw itself counted, and the exclusion ended with the time instead of with a newer list. A target that restarted under its id was taken for its older incarnation in the copy.

Change: the first list of a new epoch is compared with the list in use before it, by id and start. What it has beyond that is excluded until a list is read four heartbeats of a target later (new setting bounds.target_heartbeat_s). Missing targets are kept by incarnation. targets_changed logs the number of excluded targets.

Evidence: four tests of platform_follower failed before and pass now: excludes_departed_targets_until_a_newer_list_is_read, excludes_what_left_before_its_own_start, keeps_the_newer_incarnation_of_a_target_that_the_copy_lists, uses_targets_that_registered_again_between_two_restores.

--- a/src/mangopulley/gateway/departed_targets.hpp
+++ b/src/mangopulley/gateway/departed_targets.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <string>
-#include <utility>
+#include <cstddef>
+#include <set>
 
 #include "../core/fwd.hpp"
 #include "listed_target.hpp"
@@ -11,34 +9,33 @@
 namespace mangopulley {
 
 /**
- * @brief Remembers which targets drained or were removed, for the time after a restore of the platform's store.
+ * @brief Targets that a store restored from a copy lists as ready although they have left since the copy was made.
  *
- * A store restored from a copy lists targets as they were when the copy was made. The entry of a target that has left
- * since expires a few seconds after the restore, because nobody renews it; until then the target is not used.
+ * Their entries expire because nobody renews them. Until then, what was in use before the restore decides: an entry of
+ * the first list after it that names another target is excluded.
  */
 class departed_targets {
 public:
     /**
-     * @brief Remembers the targets that a new list shows as draining or no longer contains.
-     * @param previous List before.
-     * @param next New list.
-     * @param now Current time.
+     * @brief Begins to exclude.
+     * @param used Targets in use before the restore.
+     * @param restored First list that was read after the restore.
+     * @param trusted_from Time from which a list no longer has entries that nobody renews.
      */
-    void record(const target_list& previous, const target_list& next, time_point now);
-    /*! @brief Begins to exclude the targets that left until now. */
-    void begin_exclusion(time_point now) noexcept;
-    /*! @brief Returns whether this incarnation of a target left before the restore and may be listed by mistake. */
+    void begin(const target_list& used, const target_list& restored, time_point trusted_from);
+    /**
+     * @brief Ends the exclusion if a list is new enough.
+     * @param as_of When the list was read.
+     * @return Whether targets were excluded until now.
+     */
+    [[nodiscard]] bool end(time_point as_of);
     [[nodiscard]] bool excludes(const listed_target& target) const;
-    /*! @brief Ends the exclusion when stale entries have expired; returns whether it ended with this call. */
-    [[nodiscard]] bool end_exclusion(time_point now) noexcept;
+    /*! @brief Returns the number of excluded targets. */
+    [[nodiscard]] std::size_t size() const noexcept;
 
 private:
-    /*! @brief Id and start of an incarnation. */
-    using incarnation = std::pair<std::string, std::uint64_t>;
-
-    std::map<incarnation, time_point> departures{};
-    time_point excluded_since{};
-    bool excluding{};
+    std::set<target_incarnation> excluded{};
+    time_point trusted{};
 };
 
 } // namespace mangopulley
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -50,6 +50,8 @@
 // Bounds the memory of a head with many short fields; typical ones have 20 to 60 bytes.
 constexpr std::size_t min_bytes_per_field = 16U;
 constexpr duration settings_period{std::chrono::seconds{1}};
+// An entry expires after three intervals without a heartbeat; one more covers a late store.
+constexpr int heartbeats_per_stale_entry = 4;
 constexpr duration expiry_period{std::chrono::milliseconds{100}};
 constexpr duration signal_period{std::chrono::milliseconds{40}};
 // A stopping instance keeps accepting requests from callers with an old address list; the rest of the stop time is for
@@ -107,7 +109,7 @@
                       this->follower.receive(ip, record, changes);
                   }};
     load_sharing loads{this->loop, load_sharing_rule{}, this->identity, this->load_callbacks()};
-    platform_follower follower{this->follower_dependencies(), follower_rule{}};
+    platform_follower follower{this->follower_dependencies(), this->follow_rule()};
     directory_service addresses{this->directory_dependencies(), directory_rule{}};
     peer_service peer_documents{this->follower, [this] { return this->known_instances(); }};
     memory_budget body_memory{this->configuration.memory_mb * internal::bytes_per_mb / internal::body_memory_divisor};
@@ -151,6 +153,12 @@
         return rule;
     }
 
+    [[nodiscard]] follower_rule follow_rule() const {
+        follower_rule rule{};
+        rule.stale_entry_lifetime = this->configuration.target_heartbeat * internal::heartbeats_per_stale_entry;
+        return rule;
+    }
+
     [[nodiscard]] platform_follower::dependencies follower_dependencies() {
         return {this->loop,
                 *this->platform.store,
--- a/src/mangopulley/gateway/gateway_settings.hpp
+++ b/src/mangopulley/gateway/gateway_settings.hpp
@@ -45,6 +45,8 @@
     duration retry_window{std::chrono::seconds{10}};
     /*! @brief Probes per second of one target by all instances together. */
     double probes_per_target{60.0};
+    /*! @brief Interval at which targets renew their entries in the platform's store. */
+    duration target_heartbeat{std::chrono::milliseconds{1'500}};
 };
 
 /**
--- a/src/mangopulley/gateway/listed_target.hpp
+++ b/src/mangopulley/gateway/listed_target.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "../core/fwd.hpp"
@@ -29,6 +30,13 @@
     friend bool operator==(const listed_target&, const listed_target&) = default;
 };
 
+/*! @brief Id and start of an incarnation of a target. */
+using target_incarnation = std::pair<std::string, std::uint64_t>;
+
+[[nodiscard]] inline target_incarnation incarnation_of(const listed_target& target) {
+    return {target.id, target.born};
+}
+
 /*! @brief List of all targets as of one position of the platform's store. */
 struct target_list {
     store_position position{};
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -1,9 +1,10 @@
 #include "platform_follower.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <set>
 #include <utility>
-#include <vector>
 
 #include "../core/fnv_hash.hpp"
 #include "departed_targets.hpp"
@@ -70,7 +71,9 @@
     internal::document_state targets{};
     internal::document_state configs{};
     /*! @brief Targets missing since an outage, and until when they are still used. */
-    std::vector<std::pair<listed_target, time_point>> missing{};
+    std::map<target_incarnation, std::pair<listed_target, time_point>> missing{};
+    /*! @brief List as it was passed on last: without excluded targets, with missing ones. */
+    target_list used{};
     departed_targets departed{};
     std::uint64_t reads{};
     /*! @brief Newest epoch of the store that is known. */
@@ -188,7 +191,6 @@
     void observe_epoch(const store_position& position, const std::string& from) {
         const auto previous = std::exchange(this->epoch, std::max(this->epoch, position.epoch));
         if (this->epoch != previous && this->initialized()) {
-            this->departed.begin_exclusion(this->now());
             this->deps.log.change("store_restored",
                                   {{"epoch", std::to_string(this->epoch)},
                                    {"revision", std::to_string(position.revision)},
@@ -253,12 +255,14 @@
                   [](const listed_target& left, const listed_target& right) { return left.id < right.id; });
         const auto next = digest_of(found);
         const bool changed = next != this->digest || !this->targets.as_of;
+        const bool restored = this->targets.as_of && found.position.epoch > this->listed.position.epoch;
         if (after_outage) {
             this->retain_missing(found, time + this->rule.return_grace);
         }
-        if (changed) {
-            this->departed.record(this->listed, found, time);
+        if (restored) {
+            this->departed.begin(this->used, found, as_of + this->rule.stale_entry_lifetime);
         }
+        const bool exclusion_ended = this->departed.end(as_of);
         this->targets.as_of = as_of;
         this->targets.read_number = source.number;
         this->listed = std::move(found);
@@ -266,7 +270,7 @@
         if (changed) {
             this->history.record(next, this->listed);
         }
-        if (changed || after_outage) {
+        if (changed || after_outage || exclusion_ended) {
             this->log_targets(from, as_of, after_outage);
             this->publish();
         }
@@ -286,6 +290,7 @@
                                                   {"count", std::to_string(this->listed.targets.size())},
                                                   {"leaving", std::to_string(draining_count)},
                                                   {"kept_missing", std::to_string(this->missing.size())},
+                                                  {"excluded", std::to_string(this->departed.size())},
                                                   {"after_outage", after_outage ? "yes" : "no"},
                                                   {"from", from},
                                                   {"age_ms", internal::age_text(this->now() - as_of)}});
@@ -293,37 +298,40 @@
 
     /*! @brief Keeps using targets whose entries expired during an outage until they have had time to register again. */
     void retain_missing(const target_list& found, const time_point until) {
-        for (const auto& known : this->listed.targets) {
-            const bool present = std::any_of(found.targets.begin(), found.targets.end(),
-                                             [&known](const listed_target& target) { return target.id == known.id; });
-            if (!present && !known.draining && !this->departed.excludes(known)) {
-                this->missing.emplace_back(known, until);
+        std::set<target_incarnation> present{};
+        for (const auto& target : found.targets) {
+            present.insert(incarnation_of(target));
+        }
+        for (const auto& known : this->used.targets) {
+            if (!known.draining && !present.contains(incarnation_of(known))) {
+                this->missing.insert_or_assign(incarnation_of(known), std::pair{known, until});
             }
         }
     }
 
     void expire_missing(const time_point time) {
-        const auto count = std::erase_if(this->missing, [time](const auto& entry) { return entry.second <= time; });
+        const auto count =
+            std::erase_if(this->missing, [time](const auto& entry) { return entry.second.second <= time; });
         if (count > 0U) {
             this->deps.log.change("targets_gone", {{"count", std::to_string(count)}});
-        }
-        if (this->departed.end_exclusion(time) || count > 0U) {
             this->publish();
         }
     }
 
     void publish() {
-        auto view = this->listed;
-        std::erase_if(view.targets, [this](const listed_target& target) { return this->departed.excludes(target); });
-        std::erase_if(this->missing, [&view](const auto& entry) {
-            return std::any_of(view.targets.begin(), view.targets.end(), [&entry](const listed_target& target) {
-                return target.id == entry.first.id || target.endpoint == entry.first.endpoint;
+        this->used = this->listed;
+        auto& usable = this->used.targets;
+        std::erase_if(usable, [this](const listed_target& target) { return this->departed.excludes(target); });
+        std::erase_if(this->missing, [&usable](const auto& entry) {
+            const auto& missed = entry.second.first;
+            return std::any_of(usable.begin(), usable.end(), [&missed](const listed_target& target) {
+                return target.id == missed.id || target.endpoint == missed.endpoint;
             });
         });
-        for (const auto& [target, until] : this->missing) {
-            view.targets.push_back(target);
+        for (const auto& [incarnation, entry] : this->missing) {
+            usable.push_back(entry.first);
         }
-        this->deps.targets_changed(view);
+        this->deps.targets_changed(this->used);
     }
 
     // Documents of other instances
@@ -371,6 +379,10 @@
         if (known && !this->follows_outage(as_of, record.targets_position)) {
             this->targets.confirm(source);
             this->listed.position = std::max(this->listed.position, record.targets_position);
+            if (this->departed.end(as_of)) {
+                this->log_targets(ip, as_of, false);
+                this->publish();
+            }
             return;
         }
         if (record.targets_position < this->listed.position) {
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -36,6 +36,8 @@
     duration outage{std::chrono::milliseconds{2'500}};
     /*! @brief How long after an outage a target missing from the list is still used. */
     duration return_grace{std::chrono::milliseconds{2'300}};
+    /*! @brief How long after a restore of the store its lists may have entries that nobody renews. */
+    duration stale_entry_lifetime{std::chrono::seconds{6}};
     /*! @brief Changes up to this size are sent in the heartbeat datagram; larger ones are fetched. */
     std::size_t max_inline_change_bytes{1'200U};
 };
--- a/test/mangopulley/gateway/departed_targets.cpp
+++ b/test/mangopulley/gateway/departed_targets.cpp
@@ -31,40 +31,38 @@
 
 TEST_GROUP(departed_targets) {
     departed_targets departed{};
-    time_point now{seconds{100}};
+    time_point trusted{seconds{100}};
 };
 
 // Guards against requests to a target whose departure the restored store does not know.
-TEST(departed_targets, excludes_what_left_before_a_restore) {
-    departed.record(list_of({make_target("removed"), make_target("drained"), make_target("kept")}),
-                    list_of({make_target("drained", 1U, true), make_target("kept")}), now);
-    CHECK_FALSE_TEXT(departed.excludes(make_target("removed")), "without a restore the list is right");
-    now += seconds{3};
-    departed.begin_exclusion(now);
-    CHECK_TRUE(departed.excludes(make_target("removed")));
+TEST(departed_targets, excludes_what_was_not_in_use_before_the_restore) {
+    departed.begin(
+        list_of({make_target("drained", 1U, true), make_target("kept"), make_target("restarted", 2U)}),
+        list_of({make_target("drained"), make_target("kept"), make_target("removed"), make_target("restarted", 1U)}),
+        trusted);
     CHECK_TRUE(departed.excludes(make_target("drained")));
+    CHECK_TRUE(departed.excludes(make_target("removed")));
+    CHECK_TRUE(departed.excludes(make_target("restarted", 1U)));
+    CHECK_FALSE(departed.excludes(make_target("restarted", 2U)));
     CHECK_FALSE(departed.excludes(make_target("kept")));
-    CHECK_FALSE_TEXT(departed.excludes(make_target("removed", 2U)), "a new incarnation knows nothing of the old one");
+    CHECK_FALSE_TEXT(departed.excludes(make_target("joined")), "a target that registers after the restore");
+    LONGS_EQUAL(3, departed.size());
 }
 
-// Guards against a target that stays unused although it renews its entry.
-TEST(departed_targets, trusts_the_list_again_when_stale_entries_have_expired) {
-    departed.record(list_of({make_target("a")}), list_of({}), now);
-    departed.begin_exclusion(now + seconds{1});
-    CHECK_FALSE(departed.end_exclusion(now + seconds{5}));
+// Guards against an exclusion that ends with the time alone, and against one that never ends.
+TEST(departed_targets, ends_with_a_list_read_after_stale_entries_have_expired) {
+    departed.begin(list_of({}), list_of({make_target("a")}), trusted);
+    CHECK_FALSE(departed.end(trusted - seconds{1}));
     CHECK_TRUE(departed.excludes(make_target("a")));
-    CHECK_TRUE(departed.end_exclusion(now + seconds{8}));
+    CHECK_TRUE(departed.end(trusted));
     CHECK_FALSE(departed.excludes(make_target("a")));
-    CHECK_FALSE(departed.end_exclusion(now + seconds{9}));
+    CHECK_FALSE(departed.end(trusted + seconds{1}));
 }
 
-// Guards against excluding targets that the copy lacks, and those whose entry had only expired for a while.
-TEST(departed_targets, excludes_no_target_that_registers_again) {
-    departed.record(list_of({make_target("expired")}), list_of({}), now);
-    departed.record(list_of({}), list_of({make_target("expired"), make_target("joined")}), now + seconds{2});
-    departed.begin_exclusion(now + seconds{4});
-    departed.record(list_of({make_target("expired"), make_target("joined")}), list_of({make_target("expired")}),
-                    now + seconds{4});
-    CHECK_FALSE(departed.excludes(make_target("expired")));
-    CHECK_FALSE(departed.excludes(make_target("joined")));
+// Guards against targets that stay excluded because of an earlier restore.
+TEST(departed_targets, begins_anew_with_each_restore) {
+    departed.begin(list_of({}), list_of({make_target("a")}), trusted);
+    departed.begin(list_of({make_target("a")}), list_of({make_target("a"), make_target("b")}), trusted + seconds{3});
+    CHECK_FALSE(departed.excludes(make_target("a")));
+    CHECK_TRUE(departed.excludes(make_target("b")));
 }
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -101,6 +101,8 @@
         std::unique_ptr<platform_follower> follower{};
         std::vector<std::string> usable{};
         std::uint64_t version{};
+        /*! @brief Newest start of all usable targets. */
+        std::uint64_t latest_born{};
         bool isolated{};
     };
 
@@ -119,9 +121,11 @@
             dependencies.config_changed = [&item](const routing_config& config) { item.version = config.id.version; };
             dependencies.targets_changed = [&item](const target_list& list) {
                 item.usable.clear();
+                item.latest_born = 0U;
                 for (const auto& target : list.targets) {
                     if (!target.draining) {
                         item.usable.push_back(target.id);
+                        item.latest_born = std::max(item.latest_born, target.born);
                     }
                 }
             };
@@ -350,6 +354,76 @@
     CHECK_TRUE_TEXT(all_use({"t3"}), "a target that drains after the restore is not used");
 }
 
+// Guards against departed targets that are used again while the store is away, before their entries have expired.
+TEST(platform_follower, excludes_departed_targets_until_a_newer_list_is_read) {
+    lose_changes();
+    group.pass(seconds{2});
+    group.platform.unavailable = true;
+    group.pass(seconds{7});
+    for (const auto& item : group.instances) {
+        CHECK_TRUE(std::find(item.usable.begin(), item.usable.end(), "t2") == item.usable.end());
+    }
+}
+
+// Guards against a departed target at an instance that started after the departure and never saw it.
+TEST(platform_follower, excludes_what_left_before_its_own_start) {
+    begin();
+    const auto targets = group.platform.targets;
+    const auto config = group.platform.config;
+    group.platform.change_targets({"t1"});
+    group.platform.change_config(2U);
+    group.pass(seconds{2});
+    follower_group fresh{1U};
+    fresh.platform.targets = group.platform.targets;
+    fresh.platform.config = group.platform.config;
+    fresh.start();
+    fresh.pass(seconds{2});
+    CHECK_TRUE(fresh.instances[0].usable == std::vector<std::string>{"t1"});
+    fresh.platform.restore(targets, config);
+    fresh.pass(seconds{2});
+    CHECK_TRUE(fresh.instances[0].usable == std::vector<std::string>{"t1"});
+}
+
+// Guards against losing the newer incarnation of a target when the copy lists the older one under the same id.
+TEST(platform_follower, keeps_the_newer_incarnation_of_a_target_that_the_copy_lists) {
+    begin();
+    const auto targets = group.platform.targets;
+    const auto config = group.platform.config;
+    group.platform.change_targets({"t1", "t2"});
+    group.platform.targets.targets[1].born = 2U;
+    group.pass(seconds{2});
+    group.platform.unavailable = true;
+    group.pass(seconds{1});
+    group.platform.restore(targets, config);
+    group.platform.unavailable = false;
+    for (int step = 0; step < 15; ++step) {
+        group.pass(milliseconds{100});
+        CHECK_TRUE(all_use({"t1", "t2"}));
+        for (const auto& item : group.instances) {
+            LONGS_EQUAL(2, item.latest_born);
+        }
+    }
+}
+
+// Guards against targets that vanish, although they registered again, because a second restore follows at once.
+TEST(platform_follower, uses_targets_that_registered_again_between_two_restores) {
+    begin();
+    const auto targets = group.platform.targets;
+    const auto config = group.platform.config;
+    group.platform.change_targets({"t1", "t2", "t3"});
+    group.pass(seconds{2});
+    CHECK_TRUE(all_use({"t1", "t2", "t3"}));
+    group.platform.restore(targets, config);
+    group.pass(milliseconds{1'300});
+    group.platform.restore(targets, config);
+    group.pass(milliseconds{300});
+    group.platform.change_targets({"t1", "t2", "t3"});
+    for (int step = 0; step < 40; ++step) {
+        group.pass(milliseconds{100});
+        CHECK_TRUE(all_use({"t1", "t2", "t3"}));
+    }
+}
+
 // Guards against a target that is lost for good because its entry had lapsed before the store was restored.
 TEST(platform_follower, uses_a_departed_target_that_a_restored_store_keeps_listing) {
     lose_changes();
