Let the handler answer uploads that arrive before the first configuration

Callers saw: an upload of more than 1 MB, or a head of more than 16 KB, ended with 413 or 431 at an instance that had just started. Callers don't retry after these; 503 with a time to come back is right, and true.

Cause: without a configuration the defaults were taken for the operator's limits. Now nothing is rejected for its size before the first configuration; the handler answers at once, without holding the body.

Evidence: passes_every_request_to_the_handler_before_the_first_configuration fails with the exception taken out (the connection is closed after 431) and passes with it.

--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -23,6 +23,7 @@
 #include "peer_service.hpp"
 #include "platform_adapter.hpp"
 #include "platform_follower.hpp"
+#include "request_limits.hpp"
 #include "route_table.hpp"
 #include "settings_reloader.hpp"
 #include "transaction_log.hpp"
@@ -45,10 +46,6 @@
 constexpr std::size_t bytes_per_mb = 1'000'000U;
 // The rest is for the copies that wait to be sent, for responses and for everything else.
 constexpr std::size_t body_memory_divisor = 8U;
-// A body that is held whole can be sent again when a target states that it did not execute the request.
-constexpr std::size_t longest_held_body = 262'144U;
-// Bounds the memory of a head with many short fields; typical ones have 20 to 60 bytes.
-constexpr std::size_t min_bytes_per_field = 16U;
 constexpr duration settings_period{std::chrono::seconds{1}};
 // An entry expires after three intervals without a heartbeat; one more covers a late store.
 constexpr int heartbeats_per_stale_entry = 4;
@@ -114,7 +111,7 @@
     peer_service peer_documents{this->follower, [this] { return this->known_instances(); }};
     memory_budget body_memory{this->configuration.memory_mb * internal::bytes_per_mb / internal::body_memory_divisor};
     async_http_server callers{this->loop, this->configuration.caller_endpoint, this->body_memory,
-                              [this] { return this->caller_bounds(); },
+                              [this] { return request_limits(*this->routes.current()); },
                               [this](const auto& exchange) { this->requests.handle(exchange); }};
     async_http_server readiness{this->loop, this->configuration.readiness_endpoint, this->body_memory,
                                 [] { return http_limits{}; },
@@ -294,20 +291,6 @@
 
     // Requests
 
-    [[nodiscard]] http_limits caller_bounds() const {
-        const auto& limits = this->routes.current()->limits;
-        http_limits bounds{};
-        bounds.longest_head = limits.head_bytes;
-        bounds.longest_target = limits.head_bytes;
-        bounds.most_headers = limits.head_bytes / internal::min_bytes_per_field;
-        bounds.longest_body = limits.body_bytes;
-        bounds.longest_held_body = internal::longest_held_body;
-        bounds.accept_chunked = true;
-        bounds.longest_receive = std::chrono::ceil<milliseconds>(limits.receive_timeout);
-        bounds.longest_idle = std::chrono::ceil<milliseconds>(limits.idle_timeout);
-        return bounds;
-    }
-
     /*! @brief Logs a request that was answered before it could be forwarded. */
     void log_rejection(const request_rejection& rejection) {
         const auto id = rejection.head == nullptr
--- a/test/mangopulley/gateway/async_http_server.cpp
+++ b/test/mangopulley/gateway/async_http_server.cpp
@@ -7,6 +7,7 @@
 #include <fake/await.hpp>
 #include <fake/raw_peer.hpp>
 #include <mangopulley/gateway/async_http_server.hpp>
+#include <mangopulley/gateway/request_limits.hpp>
 #include <mangopulley/http/chunk.hpp>
 #include <mangopulley/http/response_parser.hpp>
 #include <mangopulley/loop/stream.hpp>
@@ -157,6 +158,19 @@
     CHECK_TRUE(received.find(" 413 ") != std::string::npos);
 }
 
+// Guards against an upload rejected for good by an instance that has no configuration yet.
+TEST(async_http_server, passes_every_request_to_the_handler_before_the_first_configuration) {
+    answer_immediately = false;
+    limits = request_limits(routing_config{});
+    connect();
+    caller->send("PUT /1 HTTP/1.1\r\nHost: h\r\nX: " + std::string(30'000U, 'x') +
+                 "\r\nContent-Length: 100000000\r\n\r\n" + std::string(50'000U, 'x'));
+    await([this] { return closed || exchanges.size() == 1U; });
+    CHECK_FALSE(closed);
+    exchanges.front()->respond("HTTP/1.1 503 Service Unavailable\r\n", "no_config", false);
+    await([this] { return received.find(" 503 ") != std::string::npos; });
+}
+
 // Guards against processing a malformed request, or a request that follows it on the same connection.
 TEST(async_http_server, rejects_malformed_requests_and_closes) {
     connect();
