Ignore empty lines before a request

Callers saw: a proper request ended with 400 because a line end came before it. Some callers send one after a body; RFC 9112, section 2.2, asks servers to ignore it.

Evidence: request_parser ignores_empty_lines_before_a_request failed before and passes now; the fuzzer passes.

--- a/src/mangopulley/http/request_parser.cpp
+++ b/src/mangopulley/http/request_parser.cpp
@@ -11,6 +11,7 @@
 
 namespace internal {
 
+constexpr std::string_view line_end = "\r\n";
 constexpr std::string_view head_end = "\r\n\r\n";
 
 [[nodiscard]] bool is_token(const std::string_view text) noexcept {
@@ -79,6 +80,7 @@
         return state::rejected;
     }
     if (!this->head_done) {
+        this->skip_empty_lines();
         const auto end = this->buffer.find(internal::head_end);
         if (end == std::string::npos && this->buffer.size() <= this->bounds.longest_head) {
             return state::incomplete;
@@ -116,6 +118,14 @@
     return this->reject(400, "malformed chunk");
 }
 
+void request_parser::skip_empty_lines() {
+    std::size_t skipped = 0U;
+    while (this->buffer.compare(skipped, internal::line_end.size(), internal::line_end) == 0) {
+        skipped += internal::line_end.size();
+    }
+    this->buffer.erase(0U, skipped);
+}
+
 bool request_parser::parse_head(const std::string_view head) {
     auto rest = head.substr(0U, head.size() - 2U);
     std::size_t lines = 0U;
--- a/src/mangopulley/http/request_parser.hpp
+++ b/src/mangopulley/http/request_parser.hpp
@@ -65,6 +65,8 @@
 
 private:
     [[nodiscard]] state reject(int code, std::string_view why) noexcept;
+    /*! @brief Drops empty lines before a request line; some callers send one after a body (RFC 9112, section 2.2). */
+    void skip_empty_lines();
     /*! @brief Parses a complete head. Poco's reader has limits of its own and decodes encoded words in values. */
     [[nodiscard]] bool parse_head(std::string_view head);
     [[nodiscard]] bool parse_request_line(std::string_view line);
--- a/test/mangopulley/http/request_parser.cpp
+++ b/test/mangopulley/http/request_parser.cpp
@@ -63,6 +63,20 @@
     }
 }
 
+// Guards against a proper request rejected because of the line end that some callers send after a body.
+TEST(request_parser, ignores_empty_lines_before_a_request) {
+    request_parser parser{http_limits{}};
+    for (const char* bytes : {"\r", "\n\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n"}) {
+        parser.append(bytes);
+        static_cast<void>(parser.examine());
+    }
+    CHECK_TRUE(parser.examine() == request_parser::state::complete);
+    CHECK_TRUE(parser.take().path == "/1");
+    parser.append("\r\n");
+    CHECK_TRUE(parser.examine() == request_parser::state::incomplete);
+    CHECK_FALSE_TEXT(parser.started(), "an empty line alone is no request that is too slow");
+}
+
 // Guards against a request of many header lines that costs memory for each.
 TEST(request_parser, rejects_too_many_headers) {
     std::string headers{};
