Reject requests with two hosts or two transfer codings

Cause: the first Host field decided the route while both were forwarded, and of two Transfer-Encoding fields only the first was looked at. A target that reads the other one serves another host, or finds the end of the body elsewhere and takes the rest for the next request. RFC 9112, sections 3.2 and 6.1, ask for 400.

--- a/src/mangopulley/http/request_parser.cpp
+++ b/src/mangopulley/http/request_parser.cpp
@@ -30,6 +30,11 @@
     });
 }
 
+[[nodiscard]] std::ptrdiff_t count_fields(const Poco::Net::HTTPRequest& head, const std::string& name) {
+    return std::count_if(head.begin(), head.end(),
+                         [&name](const auto& field) { return Poco::icompare(field.first, name) == 0; });
+}
+
 /*! @brief Returns a field value without the white space around it. */
 [[nodiscard]] std::string_view trimmed(std::string_view text) noexcept {
     constexpr std::string_view blanks = " \t";
@@ -144,7 +149,12 @@
             return false;
         }
     }
-    if (this->request.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1 && !this->request.head.has("Host")) {
+    const auto hosts = internal::count_fields(this->request.head, "Host");
+    if (hosts > 1) {
+        static_cast<void>(this->reject(400, "more than one Host header"));
+        return false;
+    }
+    if (this->request.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1 && hosts == 0) {
         static_cast<void>(this->reject(400, "no Host header"));
         return false;
     }
@@ -210,7 +220,8 @@
         static_cast<void>(this->reject(411, "a request body needs a Content-Length"));
         return false;
     }
-    if (Poco::icompare(head.get("Transfer-Encoding"), "chunked") != 0) {
+    const bool single = internal::count_fields(head, "Transfer-Encoding") == 1;
+    if (!single || Poco::icompare(head.get("Transfer-Encoding"), "chunked") != 0) {
         static_cast<void>(this->reject(400, "transfer coding not supported"));
         return false;
     }
--- a/test/mangopulley/http/request_parser.cpp
+++ b/test/mangopulley/http/request_parser.cpp
@@ -53,6 +53,8 @@
         {"request line with one blank", "GET HTTP/1.1\r\nHost: a\r\n\r\n", 400},
         {"blank in the target", "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", 400},
         {"empty request line", "\r\nHost: a\r\n\r\n", 400},
+        {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+        {"two equal hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", 400},
         {"empty method", " / HTTP/1.1\r\nHost: a\r\n\r\n", 400},
     };
     for (const auto& item : cases) {
@@ -63,6 +65,18 @@
     }
 }
 
+// Guards against a body whose end a target finds elsewhere, because it reads another of two codings.
+TEST(request_parser, rejects_two_transfer_codings) {
+    http_limits limits{};
+    limits.accept_chunked = true;
+    for (const std::string second : {"gzip", "chunked"}) {
+        request_parser parser{limits};
+        parser.append(post("Transfer-Encoding: chunked\r\nTransfer-Encoding: " + second + "\r\n"));
+        CHECK_TRUE(parser.examine() == request_parser::state::rejected);
+        CHECK_EQUAL(400, parser.rejection_status());
+    }
+}
+
 // Guards against a proper request rejected because of the line end that some callers send after a body.
 TEST(request_parser, ignores_empty_lines_before_a_request) {
     request_parser parser{http_limits{}};
