Keep the framing of a body that Connection options name

Cause: fields named in Connection are dropped as hop-by-hop. A caller that named Content-Length or Transfer-Encoding there had its long body forwarded without the field that frames it, and the target read the body as its next request. Framing fields and Host are forwarded whatever the options say.

Evidence: forwarded_head keeps_framing_and_host_whatever_the_connection_options_say failed before and passes now; forwarder passes.

--- a/src/mangopulley/gateway/forwarded_head.cpp
+++ b/src/mangopulley/gateway/forwarded_head.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -27,14 +28,26 @@
                                                     "Trailer",
                                                     "Upgrade"};
 
-/*! @brief Returns the field names listed in the Connection fields of a message. */
+[[nodiscard]] bool is_framing(const std::string& name) {
+    return Poco::icompare(name, field_name::content_length) == 0 ||
+           Poco::icompare(name, field_name::transfer_encoding) == 0;
+}
+
+/**
+ * @brief Returns the field names listed in the Connection fields of a message.
+ *
+ * Names of framing fields and Host are left out: without them the receiver would find the end of the message elsewhere,
+ * or route it elsewhere.
+ */
 [[nodiscard]] std::vector<std::string> connection_options(const Poco::Net::MessageHeader& head) {
     std::vector<std::string> names{};
     for (const auto& [name, value] : head) {
         if (Poco::icompare(name, field_name::connection) == 0) {
             const Poco::StringTokenizer tokens{
                 value, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY};
-            names.insert(names.end(), tokens.begin(), tokens.end());
+            std::copy_if(tokens.begin(), tokens.end(), std::back_inserter(names), [](const std::string& option) {
+                return !is_framing(option) && Poco::icompare(option, field_name::host) != 0;
+            });
         }
     }
     return names;
@@ -49,11 +62,6 @@
     head.append(name).append(": ").append(value).append("\r\n");
 }
 
-[[nodiscard]] bool is_framing(const std::string& name) {
-    return Poco::icompare(name, field_name::content_length) == 0 ||
-           Poco::icompare(name, field_name::transfer_encoding) == 0;
-}
-
 } // namespace
 
 } // namespace internal
--- /dev/null
+++ b/test/mangopulley/gateway/forwarded_head.cpp
@@ -0,0 +1,35 @@
+#include <string>
+#include <vector>
+
+#include <fake/plain_dialect.hpp>
+#include <mangopulley/gateway/forwarded_head.hpp>
+#include <mangopulley/http/request_parser.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+
+TEST_GROUP(forwarded_head) {
+    fake::plain_dialect dialect{};
+
+    std::string forward(const std::string& fields) {
+        http_limits limits{};
+        limits.accept_chunked = true;
+        request_parser parser{limits};
+        parser.append("POST /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+        static_cast<void>(parser.examine());
+        return forwarded_request_head(parser.take(), false, dialect, listed_target{}, std::chrono::seconds{1});
+    }
+};
+
+// Guards against a body that the target takes for its next request, because the field that frames it was dropped.
+TEST(forwarded_head, keeps_framing_and_host_whatever_the_connection_options_say) {
+    const std::vector<std::string> framings{"Content-Length: 5", "Transfer-Encoding: chunked"};
+    for (const auto& framing : framings) {
+        const auto name = framing.substr(0U, framing.find(':'));
+        const auto head = forward("Connection: X-Hop, " + name + ", host\r\nX-Hop: 1\r\n" + framing + "\r\n");
+        CHECK_TRUE_TEXT(head.find(framing) != std::string::npos, head.c_str());
+        CHECK_TRUE_TEXT(head.find("Host: h") != std::string::npos, head.c_str());
+        CHECK_TRUE_TEXT(head.find("X-Hop") == std::string::npos, head.c_str());
+    }
+}
