Build the fuzzer with the ids of configurations and positions of lists

Run now: fuzz_inputs, 20,000 inputs a kind, and the unit tests of request_parser (8 of 8), forwarded_head, http_server, async_http_server and platform_follower pass.

--- a/test/fuzz/input_case.cpp
+++ b/test/fuzz/input_case.cpp
@@ -248,15 +248,15 @@
     message.introduces = true;
     message.record.identity = {"i1", "10.0.0.1", "z", "r", "10.0.0.1:80", 200U};
     routing_config config{};
-    config.version = 3U;
+    config.id.version = 3U;
     config.routes = {{"get", "h", "/get/", true, duration{1}, duration{1}, 1U, 2U, {{"proof", 1.0}}}};
     config.services = {{"proof", "/health", 220U}};
     shared_load loads{[](std::uint32_t, std::uint32_t) {}};
     loads.record(7U, 2U);
     return {encode_peer_message(message),
             encode_config(config),
-            encode_targets({4U, {some_target()}}),
-            encode_changes({1U, 2U, 3U, {some_target()}, {"i-2"}}),
+            encode_targets({{1U, 4U}, {some_target()}}),
+            encode_changes({1U, 2U, {1U, 3U}, {some_target()}, {"i-2"}}),
             encode_members({{message.record, duration{5}}}),
             loads.all()};
 }
@@ -274,7 +274,8 @@
         }
     }
     const auto changes = decode_changes(input);
-    return changes && apply_changes({4U, {some_target()}}, *changes) ? "changes were applied to a foreign list" : "";
+    return changes && apply_changes({{1U, 4U}, {some_target()}}, *changes) ? "changes were applied to a foreign list"
+                                                                           : "";
 }
 
 constexpr std::array<input_case, 6U> cases{{
