Test gateways whose store returns from an older copy

Today's follower orders documents by revision alone.

Change: the stand-in object_store moves to a file of its own, answers every response with Store-Era, can save a copy and return from it; put_config takes the version, so that the same version can be written again. The test asks each instance directly: routes, departed and joined targets, calls of the store, an instance restarted meanwhile, then a new configuration and a newly draining target below the former revision.

--- a/test/integration/gateway_platform.cpp
+++ b/test/integration/gateway_platform.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,7 +15,6 @@
 #include <fake/raw_peer.hpp>
 #include <fcntl.h>
 #include <mangopulley/core/clock.hpp>
-#include <mangopulley/gateway/async_http_server.hpp>
 #include <mangopulley/http/http_channel.hpp>
 #include <nlohmann/json.hpp>
 #include <standin/common/descriptor.hpp>
@@ -22,10 +22,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "object_store.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace mangopulley;
 using fake::loopback_target;
+using integration::object_store;
 using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -41,90 +44,8 @@
 constexpr int peer_port_number = 4;
 constexpr milliseconds work_time{30};
 constexpr milliseconds bound{2'000};
-constexpr std::size_t body_memory_bytes = 1'000'000U;
 constexpr std::size_t memory_mb = 96U;
 
-/*! @brief Platform's store on a loopback port: two kinds of objects, read only. */
-class object_store {
-public:
-    explicit object_store(event_loop& loop)
-        : port{loop, "127.0.0.1:0", this->memory, [] { return http_limits{}; },
-               [this](const std::shared_ptr<http_server_exchange>& exchange) { this->answer(exchange); }} {}
-
-    [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->port.port()); }
-
-    void put_config(const std::string& prefix) {
-        ++this->revision;
-        this->config = {{"metadata", {{"name", "main"}, {"revision", this->revision}}},
-                        {"spec",
-                         {{"version", this->revision},
-                          {"routes",
-                           {{{"name", "get"},
-                             {"host", "h.example"},
-                             {"path_prefix", "/get/"},
-                             {"kind", "idempotent"},
-                             {"timeout_s", 1.5},
-                             {"latency_goal_s", 0.3},
-                             {"attempts", 2},
-                             {"service", "proof"}},
-                            {{"name", "put"},
-                             {"host", "h.example"},
-                             {"path_prefix", prefix},
-                             {"kind", "non_idempotent"},
-                             {"timeout_s", 1.5},
-                             {"latency_goal_s", 0.3},
-                             {"attempts", 2},
-                             {"service", "proof"}}}},
-                          {"services", {{{"name", "proof"}, {"health_path", "/health"}, {"max_conns", 220}}}},
-                          {"limits",
-                           {{"max_header_bytes", 16'384},
-                            {"max_body_bytes", 67'108'864},
-                            {"header_timeout_s", 3},
-                            {"idle_timeout_s", 15}}}}}};
-    }
-
-    void put_target(const std::string& id, const std::string& endpoint, const std::string& state) {
-        ++this->revision;
-        this->targets[id] = {{"metadata", {{"name", id}, {"revision", this->revision}}},
-                             {"spec",
-                              {{"service", "proof"},
-                               {"address", endpoint},
-                               {"zone", "z"},
-                               {"slots", 2},
-                               {"state", state},
-                               {"born", 1}}}};
-    }
-
-    bool away{};
-    int calls{};
-
-private:
-    void answer(const std::shared_ptr<http_server_exchange>& exchange) {
-        ++this->calls;
-        http_reply reply{};
-        if (this->away) {
-            reply.status = 503;
-        } else if (exchange->request().path == "/v1/objects/servers") {
-            auto items = json::array();
-            for (const auto& [id, object] : this->targets) {
-                items.push_back(object);
-            }
-            reply.body = json{{"items", items}, {"has_more", false}, {"store_revision", this->revision}}.dump();
-        } else if (exchange->request().path == "/v1/objects/config/main" && !this->config.is_null()) {
-            reply.body = this->config.dump();
-        } else {
-            reply.status = 404;
-        }
-        exchange->respond(reply);
-    }
-
-    std::uint64_t revision{};
-    json config{};
-    std::map<std::string, json> targets{};
-    memory_budget memory{body_memory_bytes};
-    async_http_server port;
-};
-
 /*! @brief What callers were told, and what the targets ran. */
 struct history {
     int asked{};
@@ -137,6 +58,16 @@
     std::set<std::string> said_not_run{};
 };
 
+/*! @brief What is in force: a path with a route, one that only the former configuration has, departed targets. */
+struct expected_state {
+    std::string current{};
+    std::string former{};
+    std::vector<std::string> departed{};
+};
+
+/*! @brief How often an instance answered a path with each status. */
+using told_statuses = std::map<std::pair<std::size_t, std::string>, std::map<int, int>>;
+
 } // namespace
 
 TEST_GROUP(gateway_platform) {
@@ -156,6 +87,9 @@
     /*! @brief Requests that a target never answers, and those whose connection it closes. */
     std::set<std::string> stuck{};
     std::set<std::string> lost{};
+    told_statuses told{};
+    /*! @brief Faults found so far, one a line, so that one run shows all. */
+    std::string faults{};
     std::filesystem::path folder{std::filesystem::temp_directory_path() / ("gateway-" + std::to_string(::getpid()))};
 
     void setup() override {
@@ -254,24 +188,32 @@
         }
     }
 
+    /*! @brief Sends one request over a connection of its own. */
+    void call(const std::string& endpoint, const std::string& text,
+              std::function<void(const exchange_outcome& outcome)> done) {
+        const int caller = next_caller++;
+        callers[caller] = std::make_unique<http_channel>(loop, endpoint, stream_timing{}, 100'000U);
+        callers[caller]->send(text, false, {}, [this, caller, done = std::move(done)](exchange_outcome&& outcome) {
+            done(outcome);
+            // Destroyed by the next turn: this is the channel's own callback.
+            loop.after(duration::zero(), [this, caller] { callers.erase(caller); });
+        });
+    }
+
     /*! @brief Sends one request to an address of the list and notes what becomes of it; tries another when it cannot
      * connect. */
     void ask(const std::string& method, const std::string& path, const std::string& id, const std::size_t tries = 2U) {
         const auto endpoint =
             addresses.empty() ? ip(0U) + ':' + port(caller_port_number) : addresses[next_instance++ % addresses.size()];
-        const int caller = next_caller++;
-        callers[caller] = std::make_unique<http_channel>(loop, endpoint, stream_timing{}, 100'000U);
         const auto text = method + " " + path + "x HTTP/1.1\r\nHost: h.example\r\nMangopulley-Request-Id: " + id +
                           "\r\nMangopulley-Deadline-Ms: 2000\r\n" +
                           (method == "PUT" ? "Content-Length: 2\r\n\r\nab" : "\r\n");
-        callers[caller]->send(text, false, {}, [=, this](exchange_outcome&& outcome) {
+        call(endpoint, text, [=, this](const exchange_outcome& outcome) {
             if (outcome.failure == network_error::code::connect_failed && tries > 0U) {
                 ask(method, path, id, tries - 1U);
-                return;
+            } else {
+                note(id, outcome);
             }
-            note(id, outcome);
-            // Destroyed by the next turn: this is the channel's own callback.
-            loop.after(duration::zero(), [this, caller] { callers.erase(caller); });
         });
     }
 
@@ -281,20 +223,17 @@
             return;
         }
         next_refresh = time.now() + milliseconds{300};
-        const int caller = next_caller++;
         const auto endpoint = ip(next_directory++ % instance_count) + ':' + port(directory_port_number);
-        callers[caller] = std::make_unique<http_channel>(loop, endpoint, stream_timing{}, 100'000U);
-        callers[caller]->send("GET /v1/resolve?name=h.example&region=r&zone=z HTTP/1.1\r\nHost: d\r\n\r\n", false, {},
-                              [this, caller](exchange_outcome&& outcome) {
-                                  if (!outcome.failure && outcome.response.status() == 200) {
-                                      const auto answer = json::parse(outcome.response.body);
-                                      addresses = answer.at("addresses").get<std::vector<std::string>>();
-                                      const duration lifetime = std::chrono::duration_cast<duration>(
-                                          std::chrono::duration<double>{answer.at("ttl_s").get<double>()});
-                                      next_refresh = time.now() + lifetime;
-                                  }
-                                  loop.after(duration::zero(), [this, caller] { callers.erase(caller); });
-                              });
+        call(endpoint, "GET /v1/resolve?name=h.example&region=r&zone=z HTTP/1.1\r\nHost: d\r\n\r\n",
+             [this](const exchange_outcome& outcome) {
+                 if (!outcome.failure && outcome.response.status() == 200) {
+                     const auto answer = json::parse(outcome.response.body);
+                     addresses = answer.at("addresses").get<std::vector<std::string>>();
+                     const duration lifetime = std::chrono::duration_cast<duration>(
+                         std::chrono::duration<double>{answer.at("ttl_s").get<double>()});
+                     next_refresh = time.now() + lifetime;
+                 }
+             });
     }
 
     void note(const std::string& id, const exchange_outcome& outcome) {
@@ -372,9 +311,107 @@
         LONGS_EQUAL_TEXT(0, seen.mixed, "every answer belongs to its request");
     }
 
+    /*! @brief Sends a request to one instance, whether or not it is named to callers, and counts the status. */
+    void ask_directly(const std::size_t index, const std::string& path) {
+        const auto id = "i" + std::to_string(index) + '-' + std::to_string(++seen.asked);
+        call(ip(index) + ':' + port(caller_port_number),
+             "GET " + path + "x HTTP/1.1\r\nHost: h.example\r\nMangopulley-Request-Id: " + id +
+                 "\r\nMangopulley-Deadline-Ms: 2000\r\n\r\n",
+             [this, index, path](const exchange_outcome& outcome) {
+                 ++told[{index, path}][outcome.failure ? 0 : outcome.response.status()];
+             });
+    }
+
+    /*! @brief Asks every instance directly; at times so much at once that it needs all targets that it may use. */
+    void ask_all(const expected_state& expected, const duration length) {
+        constexpr milliseconds period{50};
+        constexpr milliseconds last_answers{200};
+        constexpr int burst_rounds = 12;
+        constexpr int burst = 9;
+        told.clear();
+        for (const auto& target : targets) {
+            target->received.clear();
+        }
+        const auto end = time.now() + length - last_answers;
+        for (int round = 0; time.now() < end; ++round) {
+            for (std::size_t index = 0U; index < instance_count; ++index) {
+                ask_directly(index, expected.current);
+                ask_directly(index, expected.former);
+                // This route is in every configuration.
+                for (int count = round % burst_rounds == static_cast<int>(index) ? burst : 0; count > 0; --count) {
+                    ask_directly(index, "/get/");
+                }
+            }
+            pass(period);
+        }
+        pass(last_answers);
+    }
+
+    loopback_target& target_of(const std::string& id) const {
+        return **std::find_if(targets.begin(), targets.end(), [&id](const auto& item) { return item->id == id; });
+    }
+
+    /*! @brief Returns how many requests of an instance a target got since the last `ask_all` began. */
+    std::int64_t count_received(const std::string& id, const std::size_t index) const {
+        const auto sender = "i" + std::to_string(index) + '-';
+        const auto& received = target_of(id).received;
+        return std::count_if(received.begin(), received.end(), [&sender](const http_request& request) {
+            return request.head.get("Mangopulley-Request-Id", "").starts_with(sender);
+        });
+    }
+
+    void expect(const bool holds, const std::string& when, const std::string& fault) {
+        if (!holds) {
+            faults += when + ": " + fault + '\n';
+        }
+    }
+
+    void check_routes(const expected_state& expected, const std::size_t index, const std::string& when) {
+        const auto unknown = told[{index, expected.current}][404];
+        const auto served = told[{index, expected.former}][200];
+        const auto name = "instance " + std::to_string(index);
+        expect(unknown == 0, when, name + " has no route for " + expected.current + ": " + std::to_string(unknown));
+        expect(served == 0, when, name + " still serves " + expected.former + ": " + std::to_string(served));
+    }
+
+    void check_answered(const expected_state& expected, const std::size_t index, const std::string& when) {
+        int all = 0;
+        std::string statuses{};
+        for (const auto& [status, count] : told[{index, expected.current}]) {
+            all += count;
+            statuses += ' ' + std::to_string(status) + " x" + std::to_string(count);
+        }
+        const auto answered = told[{index, expected.current}][200];
+        // One in ten, and one more because some phases have few requests.
+        expect(answered > 0 && (all - answered) * 10 <= all + 10, when,
+               "instance " + std::to_string(index) + " does not answer, statuses:" + statuses);
+    }
+
+    /*! @brief Checks that all instances act on what is in force; one that starts may answer nothing yet. */
+    void check(const expected_state& expected, const std::string& when, const std::size_t starting = instance_count) {
+        for (std::size_t index = 0U; index < instance_count; ++index) {
+            check_routes(expected, index, when);
+            if (index != starting) {
+                check_answered(expected, index, when);
+            }
+            for (const auto& id : expected.departed) {
+                const auto count = count_received(id, index);
+                expect(count == 0, when,
+                       "instance " + std::to_string(index) + " uses departed " + id + ": " + std::to_string(count));
+            }
+        }
+    }
+
+    void check_used(const std::string& joined, const std::string& when, const std::size_t starting = instance_count) {
+        for (std::size_t index = 0U; index < instance_count; ++index) {
+            expect(index == starting || count_received(joined, index) > 0, when,
+                   "instance " + std::to_string(index) + " does not use " + joined);
+        }
+    }
+
     /*! @brief Waits until all instances answer requests. */
     void begin() {
-        store->put_config(prefix);
+        store->put_config(1U, prefix);
         for (std::size_t index = 0U; index < instance_count; ++index) {
             start(index);
         }
@@ -490,7 +527,7 @@
     targets.front()->received.clear();
     store->put_target("t0", targets.front()->endpoint(), "draining");
     prefix = "/new/";
-    store->put_config(prefix);
+    store->put_config(2U, prefix);
     pass(bound);
     targets.front()->received.clear();
     load(milliseconds{1'000});
@@ -504,6 +541,66 @@
     check_promises();
 }
 
+// Guards against routes and targets of the past, and a storm of calls, when the store has lost what it acknowledged.
+TEST(gateway_platform, keeps_what_it_knew_when_the_store_returns_from_an_older_copy) {
+    constexpr milliseconds until_restart{600};
+    constexpr milliseconds after_restart{1'200};
+    constexpr std::size_t restarted = 0U;
+    const expected_state second{"/second/", prefix, {"t0", "t1"}};
+    const expected_state third{"/third/", second.current, {"t0", "t1", "t2"}};
+    begin();
+    store->save_copy();
+    store->put_others(100U);
+    store->put_config(2U, second.current);
+    store->put_target("t0", target_of("t0").endpoint(), "draining");
+    store->put_target("t1", target_of("t1").endpoint(), "draining");
+    add_target("joined");
+    pass(bound);
+    store->remove_target("t0");
+    const auto reached = store->revision();
+    const auto calls_before = store->calls;
+    ask_all(second, until_restart + after_restart);
+    const auto calm_calls = store->calls - calls_before;
+    check(second, "before the outage");
+    check_used("joined", "before the outage");
+
+    store->away = true;
+    ask_all(second, seconds{1});
+    check(second, "while the store is away");
+
+    store->return_from_copy();
+    const auto calls_at_return = store->calls;
+    ask_all(second, until_restart);
+    check(second, "after the return");
+    instances[restarted]->kill();
+    start(restarted);
+    ask_all(second, after_restart);
+    check(second, "after the restart", restarted);
+    check_used("joined", "after the restart", restarted);
+    expect(instances[restarted]->output().find("event=config_changed version=1 ") == std::string::npos,
+           "after the restart", "the restarted instance takes the configuration of the copy");
+    const auto calls = store->calls - calls_at_return;
+    expect(calls <= calm_calls * 3 + 10, "after the return",
+           std::to_string(calls) + " store calls, " + std::to_string(calm_calls) + " in a calm time");
+
+    store->put_config(2U, second.current);
+    store->remove_target("t0");
+    store->put_target("t1", target_of("t1").endpoint(), "draining");
+    store->put_target("joined", target_of("joined").endpoint(), "ready");
+    ask_all(second, bound);
+    check(second, "after the second write", restarted);
+    check_used("joined", "after the second write", restarted);
+
+    store->put_config(3U, third.current);
+    store->put_target("t2", target_of("t2").endpoint(), "draining");
+    CHECK_TRUE(store->revision() < reached);
+    pass(bound);
+    ask_all(third, milliseconds{1'200});
+    check(third, "after the next configuration");
+    check_used("joined", "after the next configuration");
+    STRCMP_EQUAL("", faults.c_str());
+}
+
 // Guards against requests whose cause cannot be found afterwards, each with another way to end.
 TEST(gateway_platform, leaves_a_line_for_every_way_in_which_a_request_ends) {
     begin();
--- /dev/null
+++ b/test/integration/object_store.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <mangopulley/gateway/async_http_server.hpp>
+#include <mangopulley/loop/event_loop.hpp>
+#include <nlohmann/json.hpp>
+
+namespace integration {
+
+/*! @brief Platform's store on a loopback port: two kinds of objects, read only; it can return from an older copy. */
+class object_store {
+public:
+    explicit object_store(mangopulley::event_loop& loop)
+        : port{loop, "127.0.0.1:0", this->memory, [] { return mangopulley::http_limits{}; },
+               [this](const std::shared_ptr<mangopulley::http_server_exchange>& exchange) { this->answer(exchange); }} {
+    }
+
+    [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->port.port()); }
+    [[nodiscard]] std::uint64_t revision() const noexcept { return this->held.revision; }
+
+    void put_config(const std::uint64_t version, const std::string& prefix) {
+        ++this->held.revision;
+        this->held.config = {{"metadata", {{"name", "main"}, {"revision", this->held.revision}}},
+                             {"spec",
+                              {{"version", version},
+                               {"routes",
+                                {{{"name", "get"},
+                                  {"host", "h.example"},
+                                  {"path_prefix", "/get/"},
+                                  {"kind", "idempotent"},
+                                  {"timeout_s", 1.5},
+                                  {"latency_goal_s", 0.3},
+                                  {"attempts", 2},
+                                  {"service", "proof"}},
+                                 {{"name", "put"},
+                                  {"host", "h.example"},
+                                  {"path_prefix", prefix},
+                                  {"kind", "non_idempotent"},
+                                  {"timeout_s", 1.5},
+                                  {"latency_goal_s", 0.3},
+                                  {"attempts", 2},
+                                  {"service", "proof"}}}},
+                               {"services", {{{"name", "proof"}, {"health_path", "/health"}, {"max_conns", 220}}}},
+                               {"limits",
+                                {{"max_header_bytes", 16'384},
+                                 {"max_body_bytes", 67'108'864},
+                                 {"header_timeout_s", 3},
+                                 {"idle_timeout_s", 15}}}}}};
+    }
+
+    void put_target(const std::string& id, const std::string& endpoint, const std::string& state) {
+        ++this->held.revision;
+        this->held.targets[id] = {{"metadata", {{"name", id}, {"revision", this->held.revision}}},
+                                  {"spec",
+                                   {{"service", "proof"},
+                                    {"address", endpoint},
+                                    {"zone", "z"},
+                                    {"slots", 2},
+                                    {"state", state},
+                                    {"born", 1}}}};
+    }
+
+    void remove_target(const std::string& id) {
+        ++this->held.revision;
+        this->held.targets.erase(id);
+    }
+
+    /*! @brief Counts writes of objects of other kinds, which the gateways do not read. */
+    void put_others(const std::uint64_t count) { this->held.revision += count; }
+
+    void save_copy() { this->copy = this->held; }
+
+    /*! @brief Answers again with what the copy holds; what was written since is lost. */
+    void return_from_copy() {
+        this->held = this->copy;
+        ++this->era;
+        this->away = false;
+    }
+
+    bool away{};
+    int calls{};
+
+private:
+    struct contents {
+        std::uint64_t revision{};
+        nlohmann::json config{};
+        std::map<std::string, nlohmann::json> targets{};
+    };
+
+    void answer(const std::shared_ptr<mangopulley::http_server_exchange>& exchange) {
+        ++this->calls;
+        mangopulley::http_reply reply{};
+        reply.headers.push_back({"Store-Era", std::to_string(this->era)});
+        if (this->away) {
+            reply.status = 503;
+        } else if (exchange->request().path == "/v1/objects/servers") {
+            auto items = nlohmann::json::array();
+            for (const auto& [id, object] : this->held.targets) {
+                items.push_back(object);
+            }
+            reply.body =
+                nlohmann::json{{"items", items}, {"has_more", false}, {"store_revision", this->held.revision}}.dump();
+        } else if (exchange->request().path == "/v1/objects/config/main" && !this->held.config.is_null()) {
+            reply.body = this->held.config.dump();
+        } else {
+            reply.status = 404;
+        }
+        exchange->respond(reply);
+    }
+
+    static constexpr std::size_t body_memory_bytes = 1'000'000U;
+
+    contents held{};
+    contents copy{};
+    std::uint64_t era{1U};
+    mangopulley::memory_budget memory{body_memory_bytes};
+    mangopulley::async_http_server port;
+};
+
+} // namespace integration
