Tell instances that start after a restore which targets have left

Callers would see: requests sent to a target that had left, by an instance that was restarted while the store's copy still listed it; and 404 for a route of the newest configuration if that instance is the first seed, which read the copy at once.

Cause: what left before a restore is known only to those that saw it, and the first seed did not wait for the others. Heartbeats now tell how many targets are excluded; an instance that saw no restore itself fetches them before it takes a list from others. The first seed's first read waits 50 ms, in which running instances answer it.

--- a/src/mangopulley/gateway/departed_targets.cpp
+++ b/src/mangopulley/gateway/departed_targets.cpp
@@ -1,5 +1,7 @@
 #include "departed_targets.hpp"
 
+#include <algorithm>
+
 namespace mangopulley {
 
 void departed_targets::begin(const target_list& used, const target_list& restored, const time_point trusted_from) {
@@ -18,6 +20,15 @@
     }
 }
 
+void departed_targets::adopt(const departure_report& report, const time_point now) {
+    this->excluded = {report.targets.begin(), report.targets.end()};
+    this->trusted = now + report.remaining;
+}
+
+departure_report departed_targets::report(const time_point now) const {
+    return {{this->excluded.begin(), this->excluded.end()}, std::max(this->trusted - now, duration::zero())};
+}
+
 bool departed_targets::end(const time_point as_of) {
     if (this->excluded.empty() || as_of < this->trusted) {
         return false;
--- a/src/mangopulley/gateway/departed_targets.hpp
+++ b/src/mangopulley/gateway/departed_targets.hpp
@@ -2,12 +2,20 @@
 
 #include <cstddef>
 #include <set>
+#include <vector>
 
 #include "../core/fwd.hpp"
 #include "listed_target.hpp"
 
 namespace mangopulley {
 
+/*! @brief Excluded targets as told to an instance that started after the restore. */
+struct departure_report {
+    std::vector<target_incarnation> targets{};
+    /*! @brief Time until lists are trusted again. */
+    duration remaining{};
+};
+
 /**
  * @brief Targets that a store restored from a copy lists as ready although they have left since the copy was made.
  *
@@ -23,6 +31,9 @@
      * @param trusted_from Time from which a list no longer has entries that nobody renews.
      */
     void begin(const target_list& used, const target_list& restored, time_point trusted_from);
+    /*! @brief Begins to exclude what another instance reports. */
+    void adopt(const departure_report& report, time_point now);
+    [[nodiscard]] departure_report report(time_point now) const;
     /**
      * @brief Ends the exclusion if a list is new enough.
      * @param as_of When the list was read.
--- a/src/mangopulley/gateway/document_codec.cpp
+++ b/src/mangopulley/gateway/document_codec.cpp
@@ -1,5 +1,7 @@
 #include "document_codec.hpp"
 
+#include <utility>
+
 #include "duration_codec.hpp"
 #include "store_position_codec.hpp"
 
@@ -17,6 +19,8 @@
 constexpr std::uint32_t part_fields = 2U;
 constexpr std::uint32_t service_fields = 3U;
 constexpr std::uint32_t limit_fields = 4U;
+constexpr std::uint32_t departed_fields = 2U;
+constexpr std::uint32_t incarnation_fields = 2U;
 constexpr std::uint32_t list_fields = 3U;
 constexpr std::uint32_t config_fields = 6U;
 constexpr std::uint32_t changes_fields = 6U;
@@ -165,6 +169,29 @@
     return reader.valid() && reader.finished() ? std::optional{std::move(changes)} : std::nullopt;
 }
 
+std::string encode_departed(const departure_report& report) {
+    message_writer writer{};
+    writer.array(internal::departed_fields);
+    internal::write_duration(writer, report.remaining);
+    internal::write_records(writer, report.targets, [](message_writer& out, const target_incarnation& target) {
+        out.array(internal::incarnation_fields).text(target.first).number(target.second);
+    });
+    return writer.take();
+}
+
+std::optional<departure_report> decode_departed(const std::string_view bytes) {
+    message_reader reader{bytes};
+    departure_report report{};
+    reader.array(internal::departed_fields);
+    report.remaining = internal::read_duration(reader, internal::max_time);
+    internal::read_records(reader, report.targets, [](message_reader& in) {
+        in.array(internal::incarnation_fields);
+        auto id = in.text();
+        return target_incarnation{std::move(id), in.number()};
+    });
+    return reader.valid() && reader.finished() ? std::optional{std::move(report)} : std::nullopt;
+}
+
 std::string encode_config(const routing_config& config) {
     message_writer writer{};
     writer.array(internal::config_fields);
--- a/src/mangopulley/gateway/document_codec.hpp
+++ b/src/mangopulley/gateway/document_codec.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "departed_targets.hpp"
 #include "listed_target.hpp"
 #include "routing_config.hpp"
 
@@ -17,6 +18,10 @@
 [[nodiscard]] std::string encode_changes(const target_changes& changes);
 /*! @brief Decodes changes of a target list; `std::nullopt` if malformed. */
 [[nodiscard]] std::optional<target_changes> decode_changes(std::string_view bytes);
+/*! @brief Encodes the targets excluded since a restore of the store for another instance. */
+[[nodiscard]] std::string encode_departed(const departure_report& report);
+/*! @brief Decodes excluded targets; `std::nullopt` if malformed. */
+[[nodiscard]] std::optional<departure_report> decode_departed(std::string_view bytes);
 /*! @brief Encodes a routing configuration for another instance. */
 [[nodiscard]] std::string encode_config(const routing_config& config);
 /*! @brief Decodes a routing configuration; `std::nullopt` if malformed. */
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -36,6 +36,9 @@
 
 constexpr double max_request_log_lines_per_second = 300.0;
 constexpr duration peer_fetch_timeout{std::chrono::milliseconds{500}};
+// Delay of the first seed's first read. Others that run answer within it; what they hold may be newer than a store that
+// was just restored from a copy.
+constexpr duration seed_read_delay{std::chrono::milliseconds{50}};
 // Delay of the first read if no other instance is known.
 constexpr duration lone_read_delay{std::chrono::milliseconds{400}};
 // Delay of the first read if others are known, so that one of them reads first. A few steps, which differ between
@@ -176,7 +179,7 @@
     [[nodiscard]] duration first_read_delay() const {
         const auto& seeds = this->configuration.seeds;
         if (!seeds.empty() && internal::ip_of(seeds.front()) == this->configuration.ip) {
-            return duration::zero();
+            return internal::seed_read_delay;
         }
         if (this->members.members().empty()) {
             return internal::lone_read_delay;
--- a/src/mangopulley/gateway/peer_record.cpp
+++ b/src/mangopulley/gateway/peer_record.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::uint64_t peer_format = 7U;
-constexpr std::uint32_t message_fields = 19U;
+constexpr std::uint64_t peer_format = 8U;
+constexpr std::uint32_t message_fields = 20U;
 constexpr std::uint32_t introduction_fields = 6U;
 constexpr std::uint32_t member_fields = 9U;
 constexpr duration max_age{std::chrono::hours{1}};
@@ -46,7 +46,7 @@
     writer.number(record.config_read);
     internal::write_duration(writer, record.config_age);
     internal::write_position(writer, record.targets_position);
-    writer.number(record.targets_digest).number(record.targets_read);
+    writer.number(record.targets_digest).number(record.excluded_targets).number(record.targets_read);
     internal::write_duration(writer, record.targets_age);
     writer.text(message.target_changes);
     writer.array(message.introduces ? internal::introduction_fields : 0U);
@@ -75,6 +75,7 @@
     record.config_age = internal::read_duration(reader, internal::max_age);
     record.targets_position = internal::read_position(reader);
     record.targets_digest = reader.number();
+    record.excluded_targets = static_cast<std::uint32_t>(reader.number());
     record.targets_read = static_cast<std::uint32_t>(reader.number());
     record.targets_age = internal::read_duration(reader, internal::max_age);
     message.target_changes = reader.text();
--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -43,6 +43,8 @@
     /*! @brief Position of the target list; revision 0 without one. */
     store_position targets_position{};
     std::uint64_t targets_digest{};
+    /*! @brief Number of targets that are excluded since the store was restored from a copy. */
+    std::uint32_t excluded_targets{};
     /*! @brief Number of the read behind `targets_age`. */
     std::uint32_t targets_read{};
     /*! @brief Time since the target list was last known to be current. */
--- a/src/mangopulley/gateway/peer_service.cpp
+++ b/src/mangopulley/gateway/peer_service.cpp
@@ -29,6 +29,8 @@
         reply.body = encode_config(this->follower.config());
     } else if (path == "/targets" && this->follower.initialized()) {
         reply.body = this->targets_for(exchange.request());
+    } else if (path == "/departed") {
+        reply.body = encode_departed(this->follower.departed());
     } else if (path == "/members") {
         reply.body = encode_members(this->known());
     } else {
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -75,6 +75,9 @@
     /*! @brief List as it was passed on last: without excluded targets, with missing ones. */
     target_list used{};
     departed_targets departed{};
+    /*! @brief Whether this instance saw a restore itself or was told what left before it. */
+    bool knows_departures{};
+    bool fetching_departures{};
     std::uint64_t reads{};
     /*! @brief Newest epoch of the store that is known. */
     std::uint64_t epoch{};
@@ -260,6 +263,7 @@
             this->retain_missing(found, time + this->rule.return_grace);
         }
         if (restored) {
+            this->knows_departures = true;
             this->departed.begin(this->used, found, as_of + this->rule.stale_entry_lifetime);
         }
         const bool exclusion_ended = this->departed.end(as_of);
@@ -339,6 +343,10 @@
     void receive(const std::string& ip, const peer_record& record, const std::string_view target_changes) {
         const auto time = this->now();
         this->receive_config(ip, record, time);
+        if (this->needs_departures(record)) {
+            this->fetch_departures(ip);
+            return;
+        }
         this->receive_targets(ip, record, target_changes, time);
     }
 
@@ -361,6 +369,35 @@
         }
     }
 
+    /*! @brief Returns whether this instance started after a restore, so that only others know what left before it. */
+    [[nodiscard]] bool needs_departures(const peer_record& record) const noexcept {
+        const bool will_see_restore =
+            this->targets.as_of && this->listed.position.epoch < record.targets_position.epoch;
+        return record.excluded_targets > 0U && !this->knows_departures && !will_see_restore;
+    }
+
+    /*! @brief Asks an instance what has left; a list is taken from others only afterwards. */
+    void fetch_departures(const std::string& ip) {
+        if (std::exchange(this->fetching_departures, true)) {
+            return;
+        }
+        this->deps.fetch(ip, "/departed", [this, ip](std::string&& bytes) {
+            this->fetching_departures = false;
+            const auto report = decode_departed(bytes);
+            if (!report || this->knows_departures) {
+                return;
+            }
+            this->knows_departures = true;
+            this->departed.adopt(*report, this->now());
+            this->deps.log.change("departures_adopted", {{"count", std::to_string(report->targets.size())},
+                                                         {"remaining_ms", internal::age_text(report->remaining)},
+                                                         {"from", ip}});
+            if (this->targets.as_of) {
+                this->publish();
+            }
+        });
+    }
+
     void receive_targets(const std::string& ip, const peer_record& record, const std::string_view target_changes,
                          const time_point time) {
         if (record.targets_position.revision == 0U) {
@@ -451,6 +488,7 @@
     record.config_age = this->config_age();
     record.targets_position = state.targets.as_of ? state.listed.position : store_position{};
     record.targets_digest = state.digest;
+    record.excluded_targets = static_cast<std::uint32_t>(state.departed.size());
     record.targets_read = state.targets.read_number;
     record.targets_age = this->targets_age();
 }
@@ -467,6 +505,10 @@
     return this->self->history.changes_since(previous_digest, this->self->listed);
 }
 
+departure_report platform_follower::departed() const {
+    return this->self->departed.report(this->self->now());
+}
+
 const routing_config& platform_follower::config() const noexcept {
     return this->self->config;
 }
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -9,6 +9,7 @@
 
 #include "../loop/event_loop.hpp"
 #include "../observe/decision_log.hpp"
+#include "departed_targets.hpp"
 #include "listed_target.hpp"
 #include "peer_record.hpp"
 #include "platform_client.hpp"
@@ -89,6 +90,8 @@
     /*! @brief Returns the changes since the list with a digest, or `std::nullopt` if that list is no longer in the
      * history. */
     [[nodiscard]] std::optional<target_changes> changes_since(std::uint64_t previous_digest) const;
+    /*! @brief Returns what is excluded since a restore of the store, for instances that started after it. */
+    [[nodiscard]] departure_report departed() const;
     [[nodiscard]] const routing_config& config() const noexcept;
     [[nodiscard]] duration targets_age() const noexcept;
     [[nodiscard]] duration config_age() const noexcept;
--- a/test/mangopulley/gateway/document_codec.cpp
+++ b/test/mangopulley/gateway/document_codec.cpp
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include <mangopulley/gateway/document_codec.hpp>
 #include <mangopulley/gateway/peer_record.hpp>
@@ -45,6 +46,10 @@
     const auto copy = decode_config(encode_config(config));
     CHECK_TRUE(copy.has_value());
     CHECK_TRUE(*copy == config);
+    const auto report = decode_departed(encode_departed({{{"gone", 7U}}, milliseconds{1'500}}));
+    CHECK_TRUE(report.has_value());
+    CHECK_TRUE(report->remaining == milliseconds{1'500});
+    CHECK_TRUE((report->targets == std::vector<target_incarnation>{{"gone", 7U}}));
 }
 
 // Guards against changes of the list that go unnoticed, and against copying the list because of a heartbeat alone.
@@ -68,6 +73,7 @@
     check_hostile(encode_targets(list), decode_targets);
     check_hostile(encode_config(config), decode_config);
     check_hostile(encode_changes({1U, 2U, {1U, 3U}, list.targets, {"gone"}}), decode_changes);
+    check_hostile(encode_departed({{{"gone", 1U}}, milliseconds{100}}), decode_departed);
     known_instance known{};
     known.record.identity.name = "i1";
     check_hostile(encode_members({known}), decode_members);
