--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -1,16 +1,14 @@
 #include "platform_follower.hpp"
 
 #include <algorithm>
-#include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "../core/fnv_hash.hpp"
-#include "departed_targets.hpp"
 #include "document_codec.hpp"
 #include "read_time_tracker.hpp"
 #include "target_history.hpp"
+#include "usable_targets.hpp"
 
 namespace mangopulley {
 
@@ -70,13 +68,7 @@
     bool fetch_whole_list{};
     internal::document_state targets{};
     internal::document_state configs{};
-    /*! @brief Targets missing since an outage, and until when they are still used. */
-    std::map<target_incarnation, std::pair<listed_target, time_point>> missing{};
-    /*! @brief List as it was passed on last: without excluded targets, with missing ones. */
-    target_list used{};
-    departed_targets departed{};
-    /*! @brief Whether this instance saw a restore itself or was told what left before it. */
-    bool knows_departures{};
+    usable_targets usable{};
     bool fetching_departures{};
     std::uint64_t reads{};
     /*! @brief Newest epoch of the store that is known. */
@@ -260,13 +252,12 @@
         const bool changed = next != this->digest || !this->targets.as_of;
         const bool restored = this->targets.as_of && found.position.epoch > this->listed.position.epoch;
         if (after_outage) {
-            this->retain_missing(found, time + this->rule.return_grace);
+            this->usable.retain_missing(found, time + this->rule.return_grace);
         }
         if (restored) {
-            this->knows_departures = true;
-            this->departed.begin(this->used, found, as_of + this->rule.stale_entry_lifetime);
+            this->usable.exclude_departed(found, as_of + this->rule.stale_entry_lifetime);
         }
-        const bool exclusion_ended = this->departed.end(as_of);
+        const bool exclusion_ended = this->usable.end_exclusion(as_of);
         this->targets.as_of = as_of;
         this->targets.read_number = source.number;
         this->listed = std::move(found);
@@ -293,29 +284,15 @@
                                                   {"revision", std::to_string(this->listed.position.revision)},
                                                   {"count", std::to_string(this->listed.targets.size())},
                                                   {"leaving", std::to_string(draining_count)},
-                                                  {"kept_missing", std::to_string(this->missing.size())},
-                                                  {"excluded", std::to_string(this->departed.size())},
+                                                  {"kept_missing", std::to_string(this->usable.missing_count())},
+                                                  {"excluded", std::to_string(this->usable.excluded_count())},
                                                   {"after_outage", after_outage ? "yes" : "no"},
                                                   {"from", from},
                                                   {"age_ms", internal::age_text(this->now() - as_of)}});
     }
 
-    /*! @brief Keeps using targets whose entries expired during an outage until they have had time to register again. */
-    void retain_missing(const target_list& found, const time_point until) {
-        std::set<target_incarnation> present{};
-        for (const auto& target : found.targets) {
-            present.insert(incarnation_of(target));
-        }
-        for (const auto& known : this->used.targets) {
-            if (!known.draining && !present.contains(incarnation_of(known))) {
-                this->missing.insert_or_assign(incarnation_of(known), std::pair{known, until});
-            }
-        }
-    }
-
     void expire_missing(const time_point time) {
-        const auto count =
-            std::erase_if(this->missing, [time](const auto& entry) { return entry.second.second <= time; });
+        const auto count = this->usable.expire_missing(time);
         if (count > 0U) {
             this->deps.log.change("targets_gone", {{"count", std::to_string(count)}});
             this->publish();
@@ -323,19 +300,8 @@
     }
 
     void publish() {
-        this->used = this->listed;
-        auto& usable = this->used.targets;
-        std::erase_if(usable, [this](const listed_target& target) { return this->departed.excludes(target); });
-        std::erase_if(this->missing, [&usable](const auto& entry) {
-            const auto& missed = entry.second.first;
-            return std::any_of(usable.begin(), usable.end(), [&missed](const listed_target& target) {
-                return target.id == missed.id || target.endpoint == missed.endpoint;
-            });
-        });
-        for (const auto& [incarnation, entry] : this->missing) {
-            usable.push_back(entry.first);
-        }
-        this->deps.targets_changed(this->used);
+        this->usable.update(this->listed);
+        this->deps.targets_changed(this->usable.list());
     }
 
     // Documents of other instances
@@ -373,7 +339,7 @@
     [[nodiscard]] bool needs_departures(const peer_record& record) const noexcept {
         const bool will_see_restore =
             this->targets.as_of && this->listed.position.epoch < record.targets_position.epoch;
-        return record.excluded_targets > 0U && !this->knows_departures && !will_see_restore;
+        return record.excluded_targets > 0U && !this->usable.knows_departures() && !will_see_restore;
     }
 
     /*! @brief Asks an instance what has left; a list is taken from others only afterwards. */
@@ -384,11 +350,10 @@
         this->deps.fetch(ip, "/departed", [this, ip](std::string&& bytes) {
             this->fetching_departures = false;
             const auto report = decode_departed(bytes);
-            if (!report || this->knows_departures) {
+            if (!report || this->usable.knows_departures()) {
                 return;
             }
-            this->knows_departures = true;
-            this->departed.adopt(*report, this->now());
+            this->usable.exclude(*report, this->now());
             this->deps.log.change("departures_adopted", {{"count", std::to_string(report->targets.size())},
                                                          {"remaining_ms", internal::age_text(report->remaining)},
                                                          {"from", ip}});
@@ -416,7 +381,7 @@
         if (known && !this->follows_outage(as_of, record.targets_position)) {
             this->targets.confirm(source);
             this->listed.position = std::max(this->listed.position, record.targets_position);
-            if (this->departed.end(as_of)) {
+            if (this->usable.end_exclusion(as_of)) {
                 this->log_targets(ip, as_of, false);
                 this->publish();
             }
@@ -488,7 +453,7 @@
     record.config_age = this->config_age();
     record.targets_position = state.targets.as_of ? state.listed.position : store_position{};
     record.targets_digest = state.digest;
-    record.excluded_targets = static_cast<std::uint32_t>(state.departed.size());
+    record.excluded_targets = static_cast<std::uint32_t>(state.usable.excluded_count());
     record.targets_read = state.targets.read_number;
     record.targets_age = this->targets_age();
 }
@@ -506,7 +471,7 @@
 }
 
 departure_report platform_follower::departed() const {
-    return this->self->departed.report(this->self->now());
+    return this->self->usable.departures(this->self->now());
 }
 
 const routing_config& platform_follower::config() const noexcept {
