--- a/src/mangopulley/gateway/caller_connection.cpp
+++ b/src/mangopulley/gateway/caller_connection.cpp
@@ -261,11 +261,11 @@
     this->body_open = !whole;
     this->keep_alive = request.head.getKeepAlive();
     this->http_1_0 = request.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    ++this->requests_handled;
     this->owner.on_request(std::make_shared<port_exchange>(this->weak_from_this(), std::move(request), whole));
 }
 
 void caller_connection::end_request() {
+    ++this->requests_handled;
     this->request_in_progress = false;
     this->response_begun = false;
     this->disconnect_listener = {};
