Recognize an instance without a configuration by the whole id

A heartbeat's configuration with version 0 counted as none, while a configuration counts as loaded by its position in the store.

--- a/src/mangopulley/gateway/peer_record.hpp
+++ b/src/mangopulley/gateway/peer_record.hpp
@@ -34,7 +34,7 @@
     bool cpu_starved{};
     /*! @brief Smoothed rate of caller requests per second. */
     std::uint32_t requests_per_second{};
-    /*! @brief Configuration in use; version 0 without one. */
+    /*! @brief Configuration in use; a default-constructed id without one. */
     config_id config{};
     /*! @brief Number of the read behind `config_age`, so that receivers recognize it in later reports. */
     std::uint32_t config_read{};
--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -317,7 +317,7 @@
     }
 
     void receive_config(const std::string& ip, const peer_record& record, const time_point time) {
-        if (record.config.version == 0U) {
+        if (record.config == config_id{}) {
             return;
         }
         const internal::source_read source{
