--- a/test/mangopulley/gateway/forwarded_head.cpp
+++ b/test/mangopulley/gateway/forwarded_head.cpp
@@ -27,7 +27,9 @@
     const std::vector<std::string> framings{"Content-Length: 5", "Transfer-Encoding: chunked"};
     for (const auto& framing : framings) {
         const auto name = framing.substr(0U, framing.find(':'));
-        const auto head = forward("Connection: X-Hop, " + name + ", host\r\nX-Hop: 1\r\n" + framing + "\r\n");
+        std::string fields{"Connection: X-Hop, "};
+        fields.append(name).append(", host\r\nX-Hop: 1\r\n").append(framing).append("\r\n");
+        const auto head = forward(fields);
         CHECK_TRUE_TEXT(head.find(framing) != std::string::npos, head.c_str());
         CHECK_TRUE_TEXT(head.find("Host: h") != std::string::npos, head.c_str());
         CHECK_TRUE_TEXT(head.find("X-Hop") == std::string::npos, head.c_str());
