Cut the peer links while the instances of a test cluster read their lists

Cause: with link_peers each instance has its own list of addresses, which lead through its own proxies. An instance that heard a peer before the store had answered pulled the list of that peer, of the same revision, and kept it. It then reached the peer at its real address and the others through the peer's proxies, so that a cut of its own proxies did not isolate it: it was confirmed by its peers and went on to serve. This is what catalogue_in_force/stops_an_instance_cut_from_store_and_peers reported as "the instance that was cut off never stops serving".

The instances did what they should.

Change: start_entries cuts all peer links until each instance has read its list through its own view.

--- a/test/integration/standin_harness.cpp
+++ b/test/integration/standin_harness.cpp
@@ -122,6 +122,35 @@
     CHECK_TRUE(list.at("instances").back().at("state") == "leaving");
 }
 
+// Guards against a cut that an instance evades through the proxies of another one, whose list it pulled because it
+// heard that instance before the store.
+TEST(standin_harness, cluster_keeps_each_instance_on_its_own_proxies_when_its_store_is_late) {
+    auto options = small_cluster();
+    // Longer than a heartbeat period, so that the other instance sends a heartbeat before the store answers.
+    const milliseconds delay{1'500};
+    options.store_timeout = 2 * delay;
+    standin::cluster cluster{options};
+    cluster.set_store_link(1U, {{"delay_ms", {{"to_client", delay.count()}}}});
+    cluster.start_entries();
+    const auto expected = standin::read_json(cluster.store_address(1U), "/v1/instances").at("instances").at(0U);
+    CHECK_TRUE(expected.at("id") == cluster.entry_id(0U));
+    std::string peer{};
+    const auto knows_other = [&] {
+        const auto state = cluster.state(1U);
+        if (!state.is_object()) {
+            return false;
+        }
+        for (const auto& member : state.at("members").at("members")) {
+            if (member.at("instance") == cluster.entry_id(0U)) {
+                peer = member.at("peer");
+            }
+        }
+        return !peer.empty();
+    };
+    CHECK_TRUE(standin::wait_until(knows_other, soon));
+    STRCMP_EQUAL(expected.at("address").get<std::string>().c_str(), peer.c_str());
+}
+
 // Guards against a command, a target, a journal or the director that the harness does not reach.
 TEST(standin_harness, cluster_starts_programs_and_reports_their_end) {
     standin::cluster cluster{small_cluster()};
--- a/test/standin/common/cluster.cpp
+++ b/test/standin/common/cluster.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Longest time until a started entry process has the instance list of the store.
+constexpr std::chrono::milliseconds list_limit{10'000};
+
 /*! @brief Ports of an entry process and what leads from it to the store and the other processes. */
 struct entry_plan {
     std::string id{};
@@ -142,6 +145,15 @@
         control(this->store->address(), "/control/views", views);
     }
 
+    /*! @brief Cuts all links between entry processes in the given directions; does nothing without `link_peers`. */
+    void cut_all_peer_links(const char* directions) const {
+        for (const auto& entry : this->entries) {
+            for (const auto& [to, link] : entry.peer_links) {
+                control(link->control_address(), "/control", {{"cut", directions}});
+            }
+        }
+    }
+
     void publish() const { control(this->store->address(), "/control/instances", this->instances); }
 
     [[nodiscard]] std::filesystem::path write_settings(const entry_plan& entry) const {
@@ -178,9 +190,23 @@
 cluster::~cluster() = default;
 
 void cluster::start_entries() {
+    // The addresses in the list differ between instances: each is led through proxies of its own. An instance that
+    // hears a peer before the store answers pulls the peer's list, and faults of its own proxies would not affect it.
+    this->self->cut_all_peer_links("both");
     for (std::size_t index = 0U; index < this->self->entries.size(); ++index) {
         this->start_entry(index);
     }
+    for (std::size_t index = 0U; index < this->self->entries.size() && this->self->options.link_peers; ++index) {
+        const auto has_list = [&] {
+            const auto state = this->state(index);
+            const bool read = state.is_object() && state.at("members").at("revision") != 0U;
+            return read || !this->entry(index).running();
+        };
+        if (!wait_until(has_list, list_limit, std::chrono::milliseconds{10})) {
+            throw std::runtime_error{"entry process without instance list: " + this->entry(index).output()};
+        }
+    }
+    this->self->cut_all_peer_links("none");
 }
 
 void cluster::start_entry(const std::size_t index) {
--- a/test/standin/common/cluster.hpp
+++ b/test/standin/common/cluster.hpp
@@ -67,7 +67,12 @@
     cluster& operator=(const cluster&) = delete;
     ~cluster();
 
-    /*! @brief Starts all entry processes. */
+    /**
+     * @brief Starts all entry processes.
+     *
+     * With `link_peers`, waits until each has read the instance list through its own view, and lifts any cut of a peer
+     * link that was set before.
+     */
     void start_entries();
     /*! @brief Starts an entry process, or starts it again as a new incarnation after it has ended. */
     void start_entry(std::size_t index);
