Order digests of equal age by identity instead of by address

Cause: digests_to_send sorted pairs of an age and a pointer, so that members of one age were ordered by where their entries lie on the heap. In simulated time many ages are equal, so that the heartbeats of a fleet with one seed depended on the state of the heap, which is the same in each run of a test alone but not in a whole run.

Change: members of one age are ordered by incarnation, combined with the own one so that instances prefer different members. The new test in member_table fails before the change.

--- a/src/mangopulley/membership/member_table.cpp
+++ b/src/mangopulley/membership/member_table.cpp
@@ -215,7 +215,14 @@
         }
     }
     if (known.size() > count) {
-        std::sort(known.begin(), known.end());
+        // Members of one age are ordered by identity and not by address, so that a run of a simulated fleet depends on
+        // its seed alone; the own identity in the key makes instances prefer different members.
+        const auto own = this->state->own.incarnation.value();
+        const auto key = [own](const auto& item) {
+            return std::pair{item.first, item.second->description.incarnation.value() ^ own};
+        };
+        std::sort(known.begin(), known.end(),
+                  [&key](const auto& left, const auto& right) { return key(left) < key(right); });
         // The most recent contacts are new to most peers; the rest rotates, so that every member of a large fleet is
         // reported in turn. In a simulated fleet of 56 instances, a share of three quarters leads to fewer live members
         // classified as dead than a half or a quarter.
--- a/test/mangopulley/membership/member_table.cpp
+++ b/test/mangopulley/membership/member_table.cpp
@@ -166,3 +166,23 @@
     reported.erase(std::unique(reported.begin(), reported.end()), reported.end());
     CHECK_EQUAL(100U, reported.size());
 }
+
+// Guards against digests that depend on where the entries lie in memory when their ages are equal: a run of a simulated
+// fleet with one seed would then differ with the state of the heap.
+TEST(member_table, digests_of_equal_age_do_not_depend_on_addresses) {
+    mangopulley::member_table reversed{this->time, describe(1U, "self")};
+    for (std::uint64_t id = 2U; id < 42U; ++id) {
+        const auto mirrored = 43U - id;
+        this->table.record_direct(describe(id, std::to_string(id)), this->time.now(), evidence::reply);
+        reversed.record_direct(describe(mirrored, std::to_string(mirrored)), this->time.now(), evidence::reply);
+    }
+    for (int round = 0; round < 5; ++round) {
+        const auto digests = this->table.digests_to_send(16U);
+        const auto others = reversed.digests_to_send(16U);
+        CHECK_EQUAL(16U, digests.size());
+        CHECK_EQUAL(16U, others.size());
+        for (std::size_t index = 0U; index < digests.size(); ++index) {
+            CHECK_EQUAL(digests[index].short_id, others[index].short_id);
+        }
+    }
+}
