Ignore only one empty line before a request

Cause: since the parser drops any number of empty lines, so that a peer that sends nothing else is only closed when it times out. The test of hostile input is unchanged.

The test of request_parser from fed two empty lines and expected both to be ignored; it now expects one before each request to be ignored, also between pipelined ones, and more to be rejected.

--- a/src/mangopulley/http/request_parser.cpp
+++ b/src/mangopulley/http/request_parser.cpp
@@ -85,7 +85,7 @@
         return state::rejected;
     }
     if (!this->head_done) {
-        this->skip_empty_lines();
+        this->skip_empty_line();
         const auto end = this->buffer.find(internal::head_end);
         if (end == std::string::npos && this->buffer.size() <= this->bounds.longest_head) {
             return state::incomplete;
@@ -123,12 +123,11 @@
     return this->reject(400, "malformed chunk");
 }
 
-void request_parser::skip_empty_lines() {
-    std::size_t skipped = 0U;
-    while (this->buffer.compare(skipped, internal::line_end.size(), internal::line_end) == 0) {
-        skipped += internal::line_end.size();
+void request_parser::skip_empty_line() {
+    if (!this->empty_line_skipped && this->buffer.starts_with(internal::line_end)) {
+        this->buffer.erase(0U, internal::line_end.size());
+        this->empty_line_skipped = true;
     }
-    this->buffer.erase(0U, skipped);
 }
 
 bool request_parser::parse_head(const std::string_view head) {
@@ -261,6 +260,7 @@
 }
 
 void request_parser::begin_next() noexcept {
+    this->empty_line_skipped = false;
     this->head_done = false;
     this->head_taken = false;
     this->body_done = false;
--- a/src/mangopulley/http/request_parser.hpp
+++ b/src/mangopulley/http/request_parser.hpp
@@ -65,8 +65,9 @@
 
 private:
     [[nodiscard]] state reject(int code, std::string_view why) noexcept;
-    /*! @brief Drops empty lines before a request line; some callers send one after a body (RFC 9112, section 2.2). */
-    void skip_empty_lines();
+    /*! @brief Drops one empty line before a request line; some callers send one after a body (RFC 9112, section 2.2).
+     */
+    void skip_empty_line();
     /*! @brief Parses a complete head. Poco's reader has limits of its own and decodes encoded words in values. */
     [[nodiscard]] bool parse_head(std::string_view head);
     [[nodiscard]] bool parse_request_line(std::string_view line);
@@ -83,6 +84,7 @@
     std::optional<std::size_t> length{};
     /*! @brief Decodes the body; the encoded bytes are dropped from the buffer as they are taken. */
     body_decoder body{};
+    bool empty_line_skipped{};
     bool head_done{};
     bool head_taken{};
     bool body_done{};
--- a/test/mangopulley/http/request_parser.cpp
+++ b/test/mangopulley/http/request_parser.cpp
@@ -78,17 +78,22 @@
 }
 
 // Guards against a proper request rejected because of the line end that some callers send after a body.
-TEST(request_parser, ignores_empty_lines_before_a_request) {
+TEST(request_parser, ignores_an_empty_line_before_a_request) {
     request_parser parser{http_limits{}};
-    for (const char* bytes : {"\r", "\n\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n"}) {
+    for (const char* bytes : {"\r", "\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n", "\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"}) {
         parser.append(bytes);
         static_cast<void>(parser.examine());
     }
-    CHECK_TRUE(parser.examine() == request_parser::state::complete);
-    CHECK_TRUE(parser.take().path == "/1");
+    for (const char* path : {"/1", "/2"}) {
+        CHECK_TRUE(parser.examine() == request_parser::state::complete);
+        CHECK_TRUE(parser.take().path == path);
+    }
     parser.append("\r\n");
     CHECK_TRUE(parser.examine() == request_parser::state::incomplete);
     CHECK_FALSE_TEXT(parser.started(), "an empty line alone is no request that is too slow");
+    parser.append("\r\n\r\n");
+    CHECK_TRUE_TEXT(parser.examine() == request_parser::state::rejected, "more empty lines are no request");
+    CHECK_EQUAL(400, parser.rejection_status());
 }
 
 // Guards against a request of many header lines that costs memory for each.
