Ask in one place whether the store was restored since the list in use

Found on the last reading: the same comparison of epochs stood three times in platform_follower. follows_restore serves the outage rule, the exclusion of departed targets and the question whether others must tell what left; behaviour as before.

Measured: platform_follower 19 of 19, usable_targets, departed_targets and fleet pass; gateway_platform keeps_what_it_knew_when_the_store_returns_from_an_older_copy passes; formatter, and linter on the file, clean.

--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -250,7 +250,7 @@
                   [](const listed_target& left, const listed_target& right) { return left.id < right.id; });
         const auto next = digest_of(found);
         const bool changed = next != this->digest || !this->targets.as_of;
-        const bool restored = this->targets.as_of && found.position.epoch > this->listed.position.epoch;
+        const bool restored = this->follows_restore(found.position);
         if (after_outage) {
             this->usable.retain_missing(found, time + this->rule.return_grace);
         }
@@ -271,10 +271,15 @@
         }
     }
 
+    /*! @brief Returns whether the store was restored between the list in use and one of this position. */
+    [[nodiscard]] bool follows_restore(const store_position& position) const noexcept {
+        return this->targets.as_of && position.epoch > this->listed.position.epoch;
+    }
+
     /*! @brief Returns whether a list may lack entries because the store was away or was restored. */
     [[nodiscard]] bool follows_outage(const time_point as_of, const store_position& position) const noexcept {
-        return this->targets.as_of &&
-               (as_of - *this->targets.as_of >= this->rule.outage || position.epoch > this->listed.position.epoch);
+        const bool long_gap = this->targets.as_of && as_of - *this->targets.as_of >= this->rule.outage;
+        return long_gap || this->follows_restore(position);
     }
 
     void log_targets(const std::string& from, const time_point as_of, const bool after_outage) {
@@ -337,9 +342,8 @@
 
     /*! @brief Returns whether this instance started after a restore, so that only others know what left before it. */
     [[nodiscard]] bool needs_departures(const peer_record& record) const noexcept {
-        const bool will_see_restore =
-            this->targets.as_of && this->listed.position.epoch < record.targets_position.epoch;
-        return record.excluded_targets > 0U && !this->usable.knows_departures() && !will_see_restore;
+        return record.excluded_targets > 0U && !this->usable.knows_departures() &&
+               !this->follows_restore(record.targets_position);
     }
 
     /*! @brief Asks an instance what has left; a list is taken from others only afterwards. */
