review: show that an order runs twice after a late second answer

Cause: a probe takes an answer with a request's id for its own and hands the connection back while its own answer is outstanding; that answer has no id, and the next request takes its 'not run' for its own. Probes go to the wrong path until the list of targets changes, so they are answered like requests without an id.

--- a/review/standin/harness.hh
+++ b/review/standin/harness.hh
@@ -594,8 +594,8 @@
     [[nodiscard]] std::string upstream_ip() const { return this->net + ".100"; }
     [[nodiscard]] std::vector<std::unique_ptr<gateway>>& gateways() { return this->all; }
 
-    /*! Starts the gateways and waits until all are ready. */
-    void start() {
+    /*! Starts the gateways and waits until all are ready; `meanwhile` runs once they have been started. */
+    void start(const std::function<void()>& meanwhile = {}) {
         std::vector<std::string> seeds{};
         for (std::size_t index = 0U; index < std::min<std::size_t>(this->machines, 3U); ++index) {
             seeds.push_back(this->ip(index) + ":8544");
@@ -606,6 +606,9 @@
                 machine{"front-zone-a-" + std::to_string(index + 1U), ip, ip + ":8548", ip + ":8542", ip + ":8546"},
                 this->platform.endpoint(), seeds, this->folder, this->grace));
         }
+        if (meanwhile) {
+            meanwhile();
+        }
         const auto until = steady::now() + milliseconds{15'000};
         for (auto& node : this->all) {
             while (!node->ready()) {
