Log the connection of each attempt and the responses that are discarded

The line of a request names the endpoint of each send and whether its connection was new or kept. A response without the id of the open request leaves a line, response_discarded, and counts in responses_discarded_total.

--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -176,6 +176,8 @@
         }
         ++transaction->attempt_count;
         transaction->tried_targets.push_back(target->listing.id);
+        transaction->tried_connections.push_back(target->listing.endpoint +
+                                                 (attempt.channel->opened() ? "/kept" : "/new"));
         const auto number = attempt.number;
         const auto expected = attempt.expected;
         transaction->open_attempts.push_back(std::move(attempt));
@@ -194,8 +196,10 @@
         attempt.channel->send(
             {head, body_held ? request.body : beginning, !body_held, request.is_head(),
              internal::longest_held_response},
-            [this, id = transaction->metadata.request_id, reused = attempt.channel->opened()](
-                const http_response& response) { return this->answers(response, id, reused); },
+            [this, id = transaction->metadata.request_id, target = attempt.target,
+             reused = attempt.channel->opened()](const http_response& response) {
+                return this->accept_or_discard(response, id, reused, target->listing);
+            },
             [this, transaction, number = attempt.number](exchange_outcome&& outcome) {
                 this->complete_attempt(transaction, number, std::move(outcome));
             });
@@ -208,6 +212,23 @@
         return responding_to == id || (responding_to.empty() && !reused);
     }
 
+    /*! @brief Returns whether a response belongs to the request with this id; logs one that does not. */
+    [[nodiscard]] bool accept_or_discard(const http_response& response, const std::string& id, const bool reused,
+                                         const listed_target& target) const {
+        if (this->answers(response, id, reused)) {
+            return true;
+        }
+        const auto metadata = this->deps.wire_dialect.read_response(response);
+        this->deps.log.request("response_discarded", {{"request_id", id},
+                                                      {"found_id", metadata.request_id},
+                                                      {"status", std::to_string(response.status())},
+                                                      {"not_executed", metadata.not_executed ? "yes" : "no"},
+                                                      {"target", target.id},
+                                                      {"endpoint", target.endpoint}});
+        this->deps.metric_sink.count("responses_discarded_total");
+        return false;
+    }
+
     void schedule_hedge(const internal::transaction_pointer& transaction, const duration expected) {
         if (!transaction->matched_route->idempotent || transaction->hedge_timer != 0U ||
             !transaction->exchange->body_held()) {
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -53,6 +53,8 @@
     std::uint32_t attempt_count{};
     std::uint32_t failed_connects{};
     std::vector<std::string> tried_targets{};
+    /*! @brief Connection of each attempt, for the log: endpoint and whether the connection carried requests before. */
+    std::vector<std::string> tried_connections{};
     std::vector<attempt> open_attempts{};
     std::vector<std::shared_ptr<queue_entry>> queue_entries{};
     /*! @brief Whether a part of the body that is no longer held went to a target; the request cannot be sent again. */
--- a/src/mangopulley/gateway/transaction_log.cpp
+++ b/src/mangopulley/gateway/transaction_log.cpp
@@ -90,6 +90,8 @@
          {"requested", unmatched ? requested_resource(request) : std::string{}},
          {"service", transaction.service},
          {"targets", Poco::cat(std::string{","}, transaction.tried_targets.begin(), transaction.tried_targets.end())},
+         {"connections",
+          Poco::cat(std::string{","}, transaction.tried_connections.begin(), transaction.tried_connections.end())},
          {"waited_ms", to_milliseconds(waited)},
          {"total_ms", to_milliseconds(now - transaction.arrived)},
          {"time_left_ms", to_milliseconds(transaction.deadline - now)},
