--- a/test/fake/loopback_target.hpp
+++ b/test/fake/loopback_target.hpp
@@ -36,6 +36,13 @@
         this->connections.clear();
     }
 
+    /*! @brief Closes all connections and goes on listening, as a process that starts again at its address. */
+    void close_connections() {
+        for (const auto& item : this->connections) {
+            item->close();
+        }
+    }
+
     [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->number); }
 
     /*! @brief Writes an answer as a target that ran the request. */
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -113,6 +113,20 @@
         subject->update_targets(list);
     }
 
+    /*! @brief Lists a target as it is after it started again at its address while its former entry is still there. */
+    void list_under_two_ids(const loopback_target& target) {
+        target_list list{{0U, 1U}, {}};
+        for (const auto* id : {"before", "after"}) {
+            listed_target listing{};
+            listing.id = id;
+            listing.service = "proof";
+            listing.endpoint = target.endpoint();
+            listing.slots = 2U;
+            list.targets.push_back(listing);
+        }
+        subject->update_targets(list);
+    }
+
     static loopback_target::action respond_with(const int status, const std::string& body) {
         return [status, body](connection& from, const http_request& request) {
             from.write(loopback_target::answer(request, status, body));
@@ -354,6 +368,59 @@
     CHECK_TRUE_TEXT(targets[0]->accepted + targets[1]->accepted < requests, "some connections were reused");
 }
 
+// Guards against a caller that is told "not executed" of a request that a target ran: a refusal that comes twice bears
+// the id of a request that is open again on the same connection.
+TEST(forwarder, takes_no_second_copy_of_a_refusal_for_the_answer) {
+    struct repeat {
+        std::string refusal;
+        std::uint32_t attempts;
+        int sends;
+    };
+    // The second attempt goes to the same address under another id; or the caller itself repeats the id.
+    const std::vector<repeat> repeats{
+        {"421 Other\r\n", 2U, 1}, {"503 Full\r\nX-Not-Run: 1\r\n", 2U, 1}, {"503 Full\r\nX-Not-Run: 1\r\n", 1U, 2}};
+    for (const auto& item : repeats) {
+        targets.clear();
+        configure(milliseconds{1'500}, item.attempts);
+        connection* first = nullptr;
+        auto& target = add_target([&first, &item](connection& from, const http_request& request) {
+            if (first != nullptr) {
+                // A copy comes where the next answer on the connection of the refusal is due.
+                first->write("HTTP/1.1 " + item.refusal + "X-Id: 5\r\nContent-Length: 0\r\n\r\n");
+                from.write(loopback_target::answer(request, 200, "run"));
+                return;
+            }
+            first = &from;
+            from.write("HTTP/1.1 " + item.refusal + "X-Id: 5\r\nContent-Length: 0\r\n\r\n");
+        });
+        list_under_two_ids(target);
+        caller_result result{};
+        for (int send = 0; send < item.sends; ++send) {
+            result = request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x");
+        }
+        LONGS_EQUAL(2, target.received.size());
+        LONGS_EQUAL_TEXT(200, result.status, item.refusal.c_str());
+    }
+}
+
+// Guards against a second run of a request, and against a caller that is told "not executed", on a claim that nothing
+// was executed beside a status that only a target that ran the request sends.
+TEST(forwarder, does_not_believe_a_refusal_with_a_status_of_execution) {
+    for (const int status : {200, 500, 504}) {
+        targets.clear();
+        configure();
+        const auto contradicts = [status](connection& from, const http_request& request) {
+            from.write("HTTP/1.1 " + std::to_string(status) + " Text\r\nX-Not-Run: 1\r\nX-Stamp: s\r\nX-Id: " +
+                       request.head.get("X-Id") + "\r\nContent-Length: 0\r\n\r\n");
+        };
+        add_target(contradicts);
+        add_target(contradicts);
+        const auto result = request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x");
+        LONGS_EQUAL(status, result.status);
+        LONGS_EQUAL(1, targets[0]->received.size() + targets[1]->received.size());
+    }
+}
+
 // Guards against probes that use a path of no service: the configuration may come after the list of targets, or change
 // while the list stays the same.
 TEST(forwarder, probes_the_health_path_of_the_configuration_in_force) {
