Send a request id at most once on a connection

Cause: answers are told apart by the request's id, and a target may write a refusal once more where the next answer on its connection is due. A request that was refused and is sent again on the same connection has the same id, so that the copy was taken for its answer. Targets already tried are kept by id and idle connections by address, so that an address listed under two ids, as after a restart, brought a request to the same connection twice; a caller that repeats an id did so too.

A connection keeps the hashes of the ids that it has carried, 512 at most, and the pool gives a request a connection that has not carried its id. The case of equal ids can no longer arise, whichever way a request comes to a connection again.

forwarder/reuses_connections_to_targets sent one id 20 times, which callers don't; it now sends 20 ids and checks the same number of connections.

--- a/src/mangopulley/gateway/channel_pool.cpp
+++ b/src/mangopulley/gateway/channel_pool.cpp
@@ -1,5 +1,7 @@
 #include "channel_pool.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -42,15 +44,16 @@
 
 channel_pool::~channel_pool() = default;
 
-std::unique_ptr<http_channel> channel_pool::take(const std::string& endpoint) {
+std::unique_ptr<http_channel> channel_pool::take(const std::string& endpoint, const std::string_view request_id) {
     auto& idle_channels = this->self->idle[endpoint];
-    const auto now = this->self->loop.now();
-    while (!idle_channels.empty()) {
-        auto channel = std::move(idle_channels.back());
-        idle_channels.pop_back();
-        if (internal::is_usable(*channel, now)) {
-            return channel;
-        }
+    std::erase_if(idle_channels,
+                  [now = this->self->loop.now()](const auto& channel) { return !internal::is_usable(*channel, now); });
+    const auto latest = std::find_if(idle_channels.rbegin(), idle_channels.rend(),
+                                     [request_id](const auto& channel) { return !channel->has_carried(request_id); });
+    if (latest != idle_channels.rend()) {
+        auto channel = std::move(*latest);
+        idle_channels.erase(std::next(latest).base());
+        return channel;
     }
     ++this->self->opened;
     return std::make_unique<http_channel>(this->self->loop, endpoint, internal::target_timing,
--- a/src/mangopulley/gateway/channel_pool.hpp
+++ b/src/mangopulley/gateway/channel_pool.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "../http/http_channel.hpp"
 
@@ -17,8 +18,16 @@
     channel_pool& operator=(const channel_pool&) = delete;
     ~channel_pool();
 
-    /*! @brief Returns the most recently used idle connection to an endpoint (`ip:port`), or a new one. */
-    [[nodiscard]] std::unique_ptr<http_channel> take(const std::string& endpoint);
+    /**
+     * @brief Returns the most recently used idle connection to an endpoint, or a new one.
+     *
+     * A request with an id never gets a connection that has carried the same id. Responses are told apart by the id,
+     * and a target may send a copy of one where the next response is due.
+     *
+     * @param endpoint Target as `ip:port`.
+     * @param request_id Id of the request that it is for; empty for a request without one.
+     */
+    [[nodiscard]] std::unique_ptr<http_channel> take(const std::string& endpoint, std::string_view request_id);
     /*! @brief Returns a connection to the pool; closes it if it cannot carry another request or the pool is full. */
     void release(const std::string& endpoint, std::unique_ptr<http_channel> channel);
     /*! @brief Closes connections that the peer is about to close as idle. */
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -168,7 +168,7 @@
         attempt.slowdown = this->services.slowdown(transaction->service, *target);
         attempt.reading_age = target->reading_age(sent_at);
         attempt.expected = std::chrono::duration_cast<duration>(entry->work * attempt.slowdown);
-        attempt.channel = this->channels.take(target->listing.endpoint);
+        attempt.channel = this->channels.take(target->listing.endpoint, transaction->metadata.request_id);
         if (transaction->first_sent_at == time_point{}) {
             transaction->first_sent_at = sent_at;
             transaction->first_slowdown = attempt.slowdown;
@@ -194,8 +194,8 @@
                                                  transaction->deadline - attempt.sent_at);
         const auto beginning = body_held ? std::string{} : forwarded_body_part(request, {request.body});
         attempt.channel->send(
-            {head, body_held ? request.body : beginning, !body_held, request.is_head(),
-             internal::longest_held_response},
+            {head, body_held ? request.body : beginning, !body_held, request.is_head(), internal::longest_held_response,
+             transaction->metadata.request_id},
             [this, id = transaction->metadata.request_id, target = attempt.target,
              reused = attempt.channel->opened()](const http_response& response) {
                 return this->accept_or_discard(response, id, reused, target->listing);
--- a/src/mangopulley/gateway/load_prober.cpp
+++ b/src/mangopulley/gateway/load_prober.cpp
@@ -74,7 +74,7 @@
     auto& probe = state.open[probe_id];
     probe.target = target.id;
     probe.endpoint = target.endpoint;
-    probe.channel = state.channels.take(target.endpoint);
+    probe.channel = state.channels.take(target.endpoint, {});
     probe.reused_connection = probe.channel->opened();
     probe.done = std::move(done);
     probe.started = state.loop.now();
--- a/src/mangopulley/http/http_channel.cpp
+++ b/src/mangopulley/http/http_channel.cpp
@@ -1,7 +1,9 @@
 #include "http_channel.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include "field_names.hpp"
 
@@ -16,6 +18,8 @@
 constexpr std::size_t max_joined_body_bytes = 16'384U;
 // Bounds a peer that sends answers to other requests without end.
 constexpr std::size_t max_foreign_responses = 8U;
+// Bounds the memory for the ids that a connection has carried.
+constexpr std::size_t max_carried_ids = 512U;
 
 /*! @brief Reads the idle timeout of a Keep-Alive field such as `timeout=10, max=100`. */
 [[nodiscard]] std::optional<duration> idle_limit_of(const http_response& response) {
@@ -47,6 +51,8 @@
     body_reader reader{};
     std::size_t longest_held{};
     std::size_t foreign_responses{};
+    /*! @brief Hashes of the ids of all requests sent. Equal ones of different ids only cost another connection. */
+    std::vector<std::size_t> carried_ids{};
     std::optional<duration> idle_limit{};
     time_point idle_since{};
     bool connected{};
@@ -95,7 +101,7 @@
     [[nodiscard]] bool is_reusable() const noexcept {
         // A peer that answers before it has read the whole request may take the rest for the next one.
         return this->keep_alive && !this->spoiled && !this->dead && !this->parser.started() && this->request_complete &&
-               this->connection->unsent() == 0U;
+               this->connection->unsent() == 0U && this->carried_ids.size() < internal::max_carried_ids;
     }
 
     void open() {
@@ -312,6 +318,9 @@
     state.longest_held = request.longest_held_response;
     state.request_complete = !request.body_follows;
     state.parser.expect_no_body(request.bodiless);
+    if (!request.id.empty()) {
+        state.carried_ids.push_back(std::hash<std::string_view>{}(request.id));
+    }
     if (!state.connection) {
         state.open();
     }
@@ -352,6 +361,11 @@
     return this->self->connection != nullptr;
 }
 
+bool http_channel::has_carried(const std::string_view id) const {
+    const auto& carried = this->self->carried_ids;
+    return !id.empty() && std::find(carried.begin(), carried.end(), std::hash<std::string_view>{}(id)) != carried.end();
+}
+
 time_point http_channel::idle_since() const noexcept {
     return this->self->idle_since;
 }
--- a/src/mangopulley/http/http_channel.hpp
+++ b/src/mangopulley/http/http_channel.hpp
@@ -42,6 +42,8 @@
     bool bodiless{};
     /*! @brief Longest response body in bytes that is received whole; a longer one is passed on in parts. */
     std::size_t longest_held_response{std::numeric_limits<std::size_t>::max()};
+    /*! @brief Id that the responses to the request bear; empty when they bear none. */
+    std::string_view id{};
 };
 
 /**
@@ -107,6 +109,9 @@
     [[nodiscard]] bool available() const noexcept;
     /*! @brief Tells whether the connection was opened before. */
     [[nodiscard]] bool opened() const noexcept;
+    /*! @brief Tells whether a request with this id was sent before. A late response to it would be taken for the
+     * response to another one with the same id. */
+    [[nodiscard]] bool has_carried(std::string_view id) const;
     /*! @brief Returns when the last exchange ended. */
     [[nodiscard]] time_point idle_since() const noexcept;
     /*! @brief Returns how long the peer keeps the connection open when idle, if it said so. */
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -625,7 +625,7 @@
     configure();
     auto& target = add_target(respond_with(200, "ok"));
     for (int number = 0; number < 20; ++number) {
-        LONGS_EQUAL(200, request_and_wait("GET", "/get/a").status);
+        LONGS_EQUAL(200, request_and_wait("GET", "/get/a", "X-Id: " + std::to_string(number) + "\r\n").status);
     }
     CHECK_TRUE(target.accepted <= 2);
 }
--- a/test/mangopulley/gateway/load_prober.cpp
+++ b/test/mangopulley/gateway/load_prober.cpp
@@ -32,7 +32,7 @@
 
     /*! @brief Leaves a connection in the pool that carried a request. */
     void use_connection() {
-        auto channel = channels.take(peer.endpoint());
+        auto channel = channels.take(peer.endpoint(), {});
         bool answered = false;
         channel->send("GET / HTTP/1.1\r\nX-Id: 7\r\n\r\n", false, {},
                       [&answered](exchange_outcome&&) { answered = true; });
