Believe "not executed" only beside a status that can state it

Cause: the field alone decided. Now it counts only beside 503 or a client error; beside anything else it is ignored and counted in target_fields_ignored_total, and the status, the stamp and the body decide as for any response.

Measured: forwarder/does_not_believe_a_refusal_with_a_status_of_execution failed before (503 instead of the target's 200, each run) and passes now for 200, 500 and 504, with one run each.

--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -324,10 +324,14 @@
             this->channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
         const bool misdirected = status == internal::misdirected_request_status;
+        const bool refused = metadata.not_executed && internal::may_state_refusal(status);
+        if (metadata.not_executed && !refused) {
+            this->deps.metric_sink.count("target_fields_ignored_total");
+        }
         if (!misdirected) {
             this->services.record_advice(transaction->service, *attempt.target, metadata.advice);
         }
-        if (metadata.not_executed || misdirected) {
+        if (refused || misdirected) {
             this->end_attempt(transaction->service, attempt,
                               misdirected ? send_outcome::unreachable : send_outcome::shed, metadata.load);
             const bool has_free_slot = metadata.load && !metadata.load->is_full();
