Leave a target alone whose address another one has

After a restart the list has the former id of a target beside the new one. A 421 that named the new one only counted as a failed send: the former id got requests again after each avoidance, or at once when nothing else was free, and each cost its caller a send and a retry of the fleet's budget. Callers were refused though the targets had room. A probe that was answered by another target even recorded that one's load under the former id.

An address has one process, so an answer from another target says that the listed one is gone. It gets no requests and no probes for 10 s; its entry lapses meanwhile, and a wrong answer excludes a target no longer. The line target_displaced and targets_displaced_total tell of it.

--- a/src/mangopulley/gateway/abandoned_attempts.cpp
+++ b/src/mangopulley/gateway/abandoned_attempts.cpp
@@ -56,7 +56,9 @@
     if (!outcome.failure) {
         const auto metadata = deps.wire_dialect.read_response(outcome.response);
         load = metadata.load;
-        if (outcome.response.status() != misdirected_request_status) {
+        if (outcome.response.status() == misdirected_request_status) {
+            deps.services.record_displacement(entry.service, *entry.sent_attempt.target, metadata.target_id);
+        } else {
             deps.services.record_advice(entry.service, *entry.sent_attempt.target, metadata.advice);
         }
         if (outcome.reusable) {
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -328,7 +328,9 @@
         if (metadata.not_executed && !refused) {
             this->deps.metric_sink.count("target_fields_ignored_total");
         }
-        if (!misdirected) {
+        if (misdirected) {
+            this->services.record_displacement(transaction->service, *attempt.target, metadata.target_id);
+        } else {
             this->services.record_advice(transaction->service, *attempt.target, metadata.advice);
         }
         if (refused || misdirected) {
--- a/src/mangopulley/gateway/load_prober.cpp
+++ b/src/mangopulley/gateway/load_prober.cpp
@@ -49,8 +49,12 @@
         if (!outcome.failure) {
             const auto metadata = this->wire_dialect.read_response(outcome.response);
             probed.reached = metadata.target_id.empty() || metadata.target_id == probe.target;
-            probed.load = metadata.load;
-            probed.advice = metadata.advice;
+            if (probed.reached) {
+                probed.load = metadata.load;
+                probed.advice = metadata.advice;
+            } else {
+                probed.other_target = metadata.target_id;
+            }
             if (outcome.reusable) {
                 this->channels.release(probe.endpoint, std::move(probe.channel));
             }
--- a/src/mangopulley/gateway/load_prober.hpp
+++ b/src/mangopulley/gateway/load_prober.hpp
@@ -21,6 +21,8 @@
         bool inconclusive{};
         std::optional<load_reading> load{};
         target_advice advice{};
+        /*! @brief Id of the target that answered in its place; empty if none did. */
+        std::string other_target{};
         duration elapsed{};
     };
     using completion = std::function<void(const probe_result& probed)>;
--- a/src/mangopulley/gateway/service_queues.cpp
+++ b/src/mangopulley/gateway/service_queues.cpp
@@ -115,6 +115,7 @@
         if (probed.reached) {
             this->record_advice(name, *target, probed.advice);
         }
+        this->record_displacement(name, *target, probed.other_target);
         auto& pool = this->scheduler(name).targets();
         if (probed.load) {
             pool.record_reading(*target, *probed.load, this->now());
@@ -143,6 +144,19 @@
         this->deps.metric_sink.count(advice.leaving ? "targets_leaving_total" : "targets_paused_total");
     }
 
+    void record_displacement(const std::string& name, pool_target& target, const std::string_view other_id) {
+        if (other_id.empty() || other_id == target.listing.id) {
+            return;
+        }
+        this->scheduler(name).targets().record_displacement(target, this->now());
+        this->deps.log.request("target_displaced", {{"target", target.listing.id},
+                                                    {"born", std::to_string(target.listing.born)},
+                                                    {"service", name},
+                                                    {"endpoint", target.listing.endpoint},
+                                                    {"found", std::string{other_id}}});
+        this->deps.metric_sink.count("targets_displaced_total");
+    }
+
     void update_targets(const target_list& list) {
         std::map<std::string, std::vector<listed_target>, std::less<>> by_service{};
         for (const auto& [name, state] : this->services) {
@@ -194,6 +208,7 @@
                 {"zone", target.listing.zone},
                 {"leaving", target.listing.draining},
                 {"said_leaving", target.leaving},
+                {"displaced", target.displaced_until > time},
                 {"paused_ms", std::chrono::duration_cast<milliseconds>(
                                   std::max<duration>(target.paused_until - time, duration::zero()))
                                   .count()},
@@ -270,6 +285,11 @@
     this->self->record_advice(service, target, advice);
 }
 
+void service_queues::record_displacement(const std::string& service, pool_target& target,
+                                         const std::string_view other_id) {
+    this->self->record_displacement(service, target, other_id);
+}
+
 bool service_queues::try_take_retry(const std::string& service, const std::span<const std::string> tried) {
     auto& state = this->self->service(service);
     const auto now = this->self->now();
--- a/src/mangopulley/gateway/service_queues.hpp
+++ b/src/mangopulley/gateway/service_queues.hpp
@@ -98,6 +98,13 @@
              const std::optional<load_reading>& load, duration elapsed);
     /*! @brief Records what a target said in a response about the requests that it wants. */
     void record_advice(const std::string& service, pool_target& target, const target_advice& advice);
+    /**
+     * @brief Records that another target answered at a target's address.
+     * @param service Service of the target.
+     * @param target Target.
+     * @param other_id Id of the other one, for the log; does nothing if it is empty or the target's own.
+     */
+    void record_displacement(const std::string& service, pool_target& target, std::string_view other_id);
     /*! @brief Reserves one retry; fails when no untried target is left or the budget is exhausted. */
     [[nodiscard]] bool try_take_retry(const std::string& service, std::span<const std::string> tried);
     /*! @brief Returns the factor by which processing at a target is expected to take longer than usual. */
--- a/src/mangopulley/gateway/target_pool.cpp
+++ b/src/mangopulley/gateway/target_pool.cpp
@@ -38,7 +38,8 @@
 }
 
 bool pool_target::accepts_work(const time_point now) const noexcept {
-    return this->listed && !this->listing.draining && !this->leaving && this->paused_until <= now;
+    return this->listed && !this->listing.draining && !this->leaving && this->displaced_until <= now &&
+           this->paused_until <= now;
 }
 
 target_pool::handle target_pool::find(const listed_target& listing) const {
@@ -277,6 +278,10 @@
     return begins_to_leave || pauses_longer;
 }
 
+void target_pool::record_displacement(pool_target& target, const time_point now) const noexcept {
+    target.displaced_until = now + this->rule.displacement;
+}
+
 bool target_pool::has_usable(const std::span<const std::string> excluded, const time_point now) const noexcept {
     return std::any_of(this->members.begin(), this->members.end(), [excluded, now](const handle& member) {
         return member->accepts_work(now) && !internal::contains(excluded, member->listing.id);
@@ -287,7 +292,8 @@
                                                     const time_point now) const noexcept {
     std::optional<time_point> earliest{};
     for (const auto& member : this->members) {
-        if (member->listing.draining || member->leaving || internal::contains(excluded, member->listing.id)) {
+        if (member->listing.draining || member->leaving || member->displaced_until > now ||
+            internal::contains(excluded, member->listing.id)) {
             continue;
         }
         if (member->paused_until <= now) {
--- a/src/mangopulley/gateway/target_pool.hpp
+++ b/src/mangopulley/gateway/target_pool.hpp
@@ -51,6 +51,8 @@
     bool probe_pending{};
     /*! @brief Whether the target said in a response that it leaves, which holds until it starts again. */
     bool leaving{};
+    /*! @brief Time until which the target counts as gone, because another one answered at its address. */
+    time_point displaced_until{};
     /*! @brief Time until which the target wants no requests. */
     time_point paused_until{};
     /*! @brief Whether no request has succeeded since the last pause; until one does, the target gets one at a time. */
@@ -83,6 +85,9 @@
     duration rejection_cost{std::chrono::milliseconds{40}};
     duration initial_avoidance{std::chrono::milliseconds{300}};
     duration max_avoidance{std::chrono::seconds{3}};
+    /*! @brief Time without requests after another target answered at the address. The entry of a target that is gone
+     * lapses within seconds; a wrong answer excludes a target for no longer. */
+    duration displacement{std::chrono::seconds{10}};
 };
 
 /**
@@ -152,6 +157,9 @@
      */
     bool record_advice(pool_target& target, const target_advice& advice, time_point now) noexcept;
 
+    /*! @brief Records that another target answered at a target's address, which has one process at a time. */
+    void record_displacement(pool_target& target, time_point now) const noexcept;
+
     /*! @brief Returns whether any target may take new work, now or when a slot is free. */
     [[nodiscard]] bool has_usable(std::span<const std::string> excluded, time_point now) const noexcept;
     /*! @brief Returns when the first target will take requests again if all that will are paused; nothing otherwise. */
--- a/test/fake/plain_dialect.hpp
+++ b/test/fake/plain_dialect.hpp
@@ -35,6 +35,7 @@
         metadata.request_id = response.head.get("X-Id", "");
         metadata.has_response_stamp = response.head.has("X-Stamp");
         metadata.not_executed = response.head.has("X-Not-Run");
+        metadata.target_id = response.head.get("X-Answering", "");
         metadata.advice.leaving = response.head.has("X-Leaving");
         if (response.head.has("X-Pause-Ms")) {
             metadata.advice.pause = std::chrono::milliseconds{std::stol(response.head.get("X-Pause-Ms"))};
--- a/test/integration/gateway_refusals.cpp
+++ b/test/integration/gateway_refusals.cpp
@@ -54,7 +54,10 @@
         const auto& own_id = present[endpoint];
         if (request.head.get("Mangopulley-Target-Instance", "") != own_id) {
             ++misdirected;
-            reject(from, id, "421 Misdirected Request\r\nMangopulley-Instance-Id: " + own_id);
+            // Not every answer for another target says which one it is.
+            reject(from, id,
+                   "421 Misdirected Request" +
+                       (random() % 2U == 0U ? "\r\nMangopulley-Instance-Id: " + own_id : std::string{}));
         } else if (random() % refusal_period == 0U) {
             reject(from, id, "503 Full\r\nMangopulley-Not-Executed: 1");
         } else {
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -403,6 +403,38 @@
     }
 }
 
+// Guards against a stale entry that costs a send and a retry again and again: another target answers at its address.
+TEST(forwarder, leaves_a_target_alone_whose_address_another_one_has) {
+    configure();
+    int misdirected = 0;
+    auto& target = add_target([this, &misdirected](connection& from, const http_request& request) {
+        const auto id = request.head.get("X-Id");
+        if (request.head.get("X-Target") != "after") {
+            ++misdirected;
+            from.write("HTTP/1.1 421 Other\r\nX-Answering: after\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            loop.after(milliseconds{10},
+                       [&from, request] { from.write(loopback_target::answer(request, 200, "run")); });
+        }
+    });
+    list_under_two_ids(target);
+    constexpr int rounds = 20;
+    constexpr int requests_at_once = 4;
+    int last_id = 0;
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<std::shared_ptr<caller_result>> results{};
+        for (int number = 0; number < requests_at_once; ++number) {
+            const auto fields = "X-Id: " + std::to_string(++last_id) + "\r\nContent-Length: 1\r\n";
+            results.push_back(send_request("PUT", "/put/a", fields, "x"));
+        }
+        await([&results] {
+            return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->status != 0; });
+        });
+    }
+    // Both slots of the stale entry may be used before the first answer.
+    CHECK_TRUE_TEXT(misdirected <= 2, std::to_string(misdirected).c_str());
+}
+
 // Guards against a second run of a request, and against a caller that is told "not executed", on a claim that nothing
 // was executed beside a status that only a target that ran the request sends.
 TEST(forwarder, does_not_believe_a_refusal_with_a_status_of_execution) {
--- a/test/mangopulley/gateway/target_pool.cpp
+++ b/test/mangopulley/gateway/target_pool.cpp
@@ -193,6 +193,19 @@
     STRCMP_EQUAL("t1", best().c_str());
 }
 
+// Guards against requests to a target whose address another one has, and against one that a wrong answer excludes for
+// good.
+TEST(target_pool, leaves_a_displaced_target_alone_for_a_time) {
+    list({make_target("t1")});
+    pool.record_displacement(*get("t1"), now);
+    STRCMP_EQUAL("none", best().c_str());
+    CHECK_FALSE(pool.has_usable({}, now));
+    CHECK_TRUE(pool.probe_candidates({expected_work, {}, false}, 8U, now).empty());
+    CHECK_FALSE_TEXT(pool.end_of_pause({}, now).has_value(), "no pause that callers could wait for");
+    now += seconds{10};
+    STRCMP_EQUAL("t1", best().c_str());
+}
+
 // Guards against requests to a target during the pause that it asked for, and against all of them at once at its end.
 TEST(target_pool, resumes_a_paused_target_with_one_request_at_a_time) {
     list({make_target("t1")});
