Decide what a response says about execution in one place

The forwarder read the status, the stamp and the field for "not executed" in the middle of its handling, abandoned attempts the status once more, and the rule for a response's id stood in a third function.

The handling of a response is split by verdict.

--- a/src/mangopulley/gateway/abandoned_attempts.cpp
+++ b/src/mangopulley/gateway/abandoned_attempts.cpp
@@ -4,6 +4,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "response_verdict.hpp"
+
 namespace mangopulley::internal {
 
 namespace {
@@ -56,7 +58,7 @@
     if (!outcome.failure) {
         const auto metadata = deps.wire_dialect.read_response(outcome.response);
         load = metadata.load;
-        if (outcome.response.status() == misdirected_request_status) {
+        if (verdict_of(outcome.response, metadata) == response_verdict::misdirected) {
             deps.services.record_displacement(entry.service, *entry.sent_attempt.target, metadata.target_id);
         } else {
             deps.services.record_advice(entry.service, *entry.sent_attempt.target, metadata.advice);
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -7,12 +7,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include "../http/field_names.hpp"
 #include "abandoned_attempts.hpp"
 #include "forwarded_head.hpp"
 #include "gateway_response.hpp"
 #include "request_upload.hpp"
 #include "response_relays.hpp"
+#include "response_verdict.hpp"
 #include "route_estimates.hpp"
 #include "transaction.hpp"
 #include "transaction_log.hpp"
@@ -205,20 +205,13 @@
             });
     }
 
-    /*! @brief Returns whether a response belongs to the request with this id. On a connection that carried an earlier
-     * exchange, a response without an id may be a late one to a health probe. */
-    [[nodiscard]] bool answers(const http_response& response, const std::string& id, const bool reused) const {
-        const auto responding_to = this->deps.wire_dialect.read_response(response).request_id;
-        return responding_to == id || (responding_to.empty() && !reused);
-    }
-
     /*! @brief Returns whether a response belongs to the request with this id; logs one that does not. */
     [[nodiscard]] bool accept_or_discard(const http_response& response, const std::string& id, const bool reused,
                                          const listed_target& target) const {
-        if (this->answers(response, id, reused)) {
+        const auto metadata = this->deps.wire_dialect.read_response(response);
+        if (internal::answers_request(metadata, id, reused)) {
             return true;
         }
-        const auto metadata = this->deps.wire_dialect.read_response(response);
         this->deps.log.request("response_discarded", {{"request_id", id},
                                                       {"found_id", metadata.request_id},
                                                       {"status", std::to_string(response.status())},
@@ -317,43 +310,64 @@
 
     void handle_response(const internal::transaction_pointer& transaction, internal::attempt& attempt,
                          exchange_outcome&& outcome) {
-        auto& response = outcome.response;
-        const auto metadata = this->deps.wire_dialect.read_response(response);
-        const int status = response.status();
+        using verdict = internal::response_verdict;
+        const auto metadata = this->deps.wire_dialect.read_response(outcome.response);
+        const auto found = internal::verdict_of(outcome.response, metadata);
         if (outcome.reusable) {
             this->channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
-        const bool misdirected = status == internal::misdirected_request_status;
-        const bool refused = metadata.not_executed && internal::may_state_refusal(status);
-        if (metadata.not_executed && !refused) {
-            this->deps.metric_sink.count("target_fields_ignored_total");
-        }
-        if (misdirected) {
+        if (found == verdict::misdirected) {
             this->services.record_displacement(transaction->service, *attempt.target, metadata.target_id);
         } else {
             this->services.record_advice(transaction->service, *attempt.target, metadata.advice);
         }
-        if (refused || misdirected) {
-            this->end_attempt(transaction->service, attempt,
-                              misdirected ? send_outcome::unreachable : send_outcome::shed, metadata.load);
-            const bool has_free_slot = metadata.load && !metadata.load->is_full();
-            (has_free_slot ? transaction->rejected_by_free_target : transaction->rejected_by_full_target) = true;
-            transaction->cause = misdirected ? "another_target" : "shed";
-            if (this->acquire_retry(transaction)) {
-                this->enqueue(transaction);
-            }
-            return;
-        }
-        if (!metadata.has_response_stamp || response.head.has(field_name::content_encoding)) {
+        switch (found) {
+        case verdict::misdirected:
+            this->handle_refusal(transaction, attempt, send_outcome::unreachable, metadata.load);
+            break;
+        case verdict::refused:
+            this->handle_refusal(transaction, attempt, send_outcome::shed, metadata.load);
+            break;
+        case verdict::not_genuine:
+            this->count_ignored_claim(metadata);
             transaction->cause = "not_genuine";
             this->handle_indeterminate(transaction, attempt, metadata.load);
-            return;
+            break;
+        case verdict::failed:
+        case verdict::succeeded:
+            this->count_ignored_claim(metadata);
+            this->end_attempt(transaction->service, attempt,
+                              found == verdict::failed ? send_outcome::failed : send_outcome::succeeded, metadata.load);
+            this->handle_execution(transaction, attempt, std::move(outcome), found == verdict::failed);
+            break;
         }
+    }
+
+    /*! @brief Counts a claim that nothing was executed which is not believed. */
+    void count_ignored_claim(const response_metadata& metadata) const {
+        if (metadata.not_executed) {
+            this->deps.metric_sink.count("target_fields_ignored_total");
+        }
+    }
+
+    /*! @brief Ends an attempt that the target did not execute. */
+    void handle_refusal(const internal::transaction_pointer& transaction, internal::attempt& attempt,
+                        const send_outcome outcome, const std::optional<load_reading>& load) {
+        this->end_attempt(transaction->service, attempt, outcome, load);
+        const bool has_free_slot = load && !load->is_full();
+        (has_free_slot ? transaction->rejected_by_free_target : transaction->rejected_by_full_target) = true;
+        transaction->cause = outcome == send_outcome::shed ? "shed" : "another_target";
+        if (this->acquire_retry(transaction)) {
+            this->enqueue(transaction);
+        }
+    }
+
+    /*! @brief Forwards the response of a target that executed the request, or tries again after a failure. */
+    void handle_execution(const internal::transaction_pointer& transaction, internal::attempt& attempt,
+                          exchange_outcome&& outcome, const bool failed) {
+        auto& response = outcome.response;
         transaction->may_have_executed = true;
         transaction->answered_by = attempt.target->listing.id;
-        const bool failed = status >= 500;
-        this->end_attempt(transaction->service, attempt, failed ? send_outcome::failed : send_outcome::succeeded,
-                          metadata.load);
         if (!failed && transaction->exchange->body_held()) {
             this->estimates.record_work(*transaction->matched_route, this->now() - attempt.sent_at, attempt.slowdown);
         }
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -15,15 +15,6 @@
 
 struct transaction;
 
-/*! @brief Status of a target at whose address the request was meant for another one. */
-inline constexpr int misdirected_request_status = 421;
-
-/*! @brief Returns whether a target may answer a request that it did not execute with this status: a client error or
- * 503. Any other one, as a success or 504, comes from an execution, whatever else the response says. */
-[[nodiscard]] constexpr bool may_state_refusal(const int status) noexcept {
-    return status == 503 || (status >= 400 && status < 500);
-}
-
 /*! @brief Entry of a transaction in the queue of its service. */
 struct queue_entry final : waiting_request {
     std::shared_ptr<transaction> owner{};
