Test a target's pause with few connections and with probes

Cause: in the test. Each request opened a connection of its own, all were kept, and as many were sent as the machine managed in 500 ms. A fast machine reached the 4,000 connections that the server accepts, and the caller of the next one got no answer.

Three callers now keep their connections, send a new id with each request, as callers do, and pause for 1 ms after each round, so that the connections don't depend on the speed of the machine. The check asks for more than before: all through the 500 ms nothing reaches the paused target, by request or probe, and each caller is served by the other one. There is one request more at a time than the other target has slots for, its answer is checked to be the other target's, and its answers bear no load reading, so that probes are sent all the time; before, they were not, as each answer brought a fresh reading.

--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -40,6 +40,19 @@
     bool stamped{};
 };
 
+/*! @brief Sends a request over a caller's connection, which must be free. */
+[[nodiscard]] std::shared_ptr<caller_result> send_over(http_channel& caller, const std::string& text) {
+    auto result = std::make_shared<caller_result>();
+    caller.send(text, false, {}, [result](exchange_outcome&& outcome) {
+        result->failure = outcome.failure;
+        result->status = outcome.failure ? -1 : outcome.response.status();
+        result->body = outcome.response.body;
+        result->retry_after = outcome.response.head.get("Retry-After", "");
+        result->stamped = outcome.response.head.has("X-Stamp");
+    });
+    return result;
+}
+
 } // namespace
 
 TEST_GROUP(forwarder) {
@@ -133,20 +146,16 @@
         };
     }
 
-    std::shared_ptr<caller_result> send_request(const std::string& method, const std::string& path,
-                                                const std::string& fields, const std::string& body = {}) {
-        auto result = std::make_shared<caller_result>();
+    /*! @brief Returns a connection of a caller, which opens with its first request. */
+    http_channel& add_caller() {
         callers.push_back(std::make_unique<http_channel>(loop, "127.0.0.1:" + std::to_string(server->port()),
                                                          stream_timing{}, 64'000'000U));
-        callers.back()->send(method + " " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body, false, {},
-                             [result](exchange_outcome&& outcome) {
-                                 result->failure = outcome.failure;
-                                 result->status = outcome.failure ? -1 : outcome.response.status();
-                                 result->body = outcome.response.body;
-                                 result->retry_after = outcome.response.head.get("Retry-After", "");
-                                 result->stamped = outcome.response.head.has("X-Stamp");
-                             });
-        return result;
+        return *callers.back();
+    }
+
+    std::shared_ptr<caller_result> send_request(const std::string& method, const std::string& path,
+                                                const std::string& fields, const std::string& body = {}) {
+        return send_over(add_caller(), method + " " + path + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + body);
     }
 
     caller_result request_and_wait(const std::string& method, const std::string& path,
@@ -505,14 +514,30 @@
     const auto refused = request_and_wait("GET", "/get/a");
     LONGS_EQUAL(503, refused.status);
     CHECK_TRUE(std::stod(refused.retry_after) >= 0.6 && std::stod(refused.retry_after) <= 0.9);
-    add_target(respond_with(200, "other"));
+    // Its answers bear no load reading, so that requests go by probes.
+    auto& other = add_target([](connection& from, const http_request& request) {
+        from.write("HTTP/1.1 200 OK\r\nX-Stamp: s\r\nX-Id: " + request.head.get("X-Id") +
+                   "\r\nContent-Length: 5\r\n\r\nother");
+    });
     const auto probes = paused.probes;
-    const auto end = loop.now() + milliseconds{500};
-    while (loop.now() < end) {
-        LONGS_EQUAL(200, request_and_wait("GET", "/get/a").status);
+    // One more request at a time than the other target has slots for, so that its free slots never suffice.
+    const std::vector<http_channel*> kept{&add_caller(), &add_caller(), &add_caller()};
+    int sent = 0;
+    for (const auto end = loop.now() + milliseconds{500}; loop.now() < end; loop.turn(milliseconds{1})) {
+        std::vector<std::shared_ptr<caller_result>> results{};
+        for (auto* caller : kept) {
+            const auto id = std::to_string(++sent);
+            results.push_back(send_over(*caller, "GET /get/a HTTP/1.1\r\nHost: h\r\nX-Id: p" + id + "\r\n\r\n"));
+        }
+        for (const auto& result : results) {
+            await([&result] { return result->status != 0; });
+            LONGS_EQUAL(200, result->status);
+            STRCMP_EQUAL("other", result->body.c_str());
+        }
     }
     LONGS_EQUAL(1, paused.received.size());
     LONGS_EQUAL(probes, paused.probes);
+    CHECK_TRUE(other.probes > 0);
 }
 
 // Guards against requests to a target after it said in a response that it leaves, also one to a probe, a rejection and
