Wait for a target that reads slowly until the request's time limit

Cause: TCP_USER_TIMEOUT, which notices a target whose host is gone, also ends a connection whose peer answers every window probe that it has no room. Keep-alive cannot take its place: the kernel sends none while bytes wait.

Change: a stream whose owner limits the time itself (the connections to targets) opens with TCP_USER_TIMEOUT and then lifts it. While bytes wait for the peer, it looks four times within the limit whether the peer's host has answered what was sent (TCP_INFO), and closes the connection as broken when that stays out for the limit. A single window probe without an answer proves nothing: Linux limits the rate of these answers (seen: a live peer on loopback left the second probe unanswered). On closing, the limit is set again, so that the kernel does not keep unread bytes for long. An idle connection is given up at the first keep-alive probe without an answer, as before. Callers, peers and the store keep TCP_USER_TIMEOUT: a caller that reads nothing must not hold memory. A host that is lost while its window is closed is noticed only after two window probes of the kernel, whose intervals double; the request's time limit comes first then.

Not tested: a host that is lost while its window is closed.

--- a/src/mangopulley/gateway/channel_pool.cpp
+++ b/src/mangopulley/gateway/channel_pool.cpp
@@ -19,7 +19,7 @@
 constexpr duration default_idle_limit{std::chrono::seconds{4}};
 // A request that crosses the peer's close may not be retriable, so connections are closed before the peer's timeout.
 constexpr duration idle_margin{std::chrono::milliseconds{1'500}};
-constexpr stream_timing target_timing{milliseconds{1'000}, milliseconds{1'000}};
+constexpr stream_timing target_timing{milliseconds{1'000}, milliseconds{1'000}, true};
 
 [[nodiscard]] bool is_usable(const http_channel& channel, const time_point now) {
     if (!channel.available()) {
--- a/src/mangopulley/loop/stream.cpp
+++ b/src/mangopulley/loop/stream.cpp
@@ -13,6 +13,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <netinet/tcp.h>
 
+#include "acknowledgement_watch.hpp"
 #include "port_binding.hpp"
 
 namespace mangopulley {
@@ -27,6 +28,9 @@
 constexpr duration accept_pause{std::chrono::milliseconds{100}};
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
+// Without TCP_USER_TIMEOUT, which ends a connection at the first probe without an answer, this does.
+constexpr int keep_alive_probes_of_slow_reader = 1;
+constexpr int looks_per_longest_silence = 4;
 // Sent bytes are dropped from the front of the buffer in pieces of at least this size.
 constexpr std::size_t min_compaction_bytes = 65'536U;
 
@@ -36,16 +40,21 @@
     return error.code() == POCO_EWOULDBLOCK || error.code() == POCO_EAGAIN || error.code() == POCO_EINTR;
 }
 
+void limit_unacknowledged(const Poco::Net::StreamSocket& socket, const milliseconds limit) {
+    socket.impl()->setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit.count()));
+}
+
 void configure(Poco::Net::StreamSocket& socket, const stream_timing& timing) {
     socket.setBlocking(false);
     socket.setNoDelay(true);
-    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timing.unacknowledged.count()));
+    limit_unacknowledged(socket, timing.unacknowledged);
     if (timing.keep_alive > milliseconds::zero()) {
         socket.setKeepAlive(true);
         socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE,
                          static_cast<int>(std::chrono::ceil<std::chrono::seconds>(timing.keep_alive).count()));
         socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
-        socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+        socket.setOption(IPPROTO_TCP, TCP_KEEPCNT,
+                         timing.waits_for_reader ? keep_alive_probes_of_slow_reader : keep_alive_probes);
     }
 }
 
@@ -56,6 +65,9 @@
 struct stream::implementation : std::enable_shared_from_this<stream::implementation> {
     event_loop& loop;
     Poco::Net::StreamSocket socket;
+    stream_timing timing;
+    internal::acknowledgement_watch acknowledgements{this->timing.unacknowledged};
+    timer_id acknowledgement_timer{};
     /*! @brief Shared, so that a running callback stays alive when it destroys the stream. */
     std::shared_ptr<const events> callbacks;
     std::string send_buffer{};
@@ -69,8 +81,10 @@
      */
     bool send_failed{};
 
-    implementation(event_loop& owner, const Poco::Net::StreamSocket& connection, events actions)
-        : loop{owner}, socket{connection}, callbacks{std::make_shared<const events>(std::move(actions))} {}
+    implementation(event_loop& owner, const Poco::Net::StreamSocket& connection, const stream_timing& rules,
+                   events actions)
+        : loop{owner}, socket{connection}, timing{rules}, callbacks{
+                                                              std::make_shared<const events>(std::move(actions))} {}
 
     [[nodiscard]] std::size_t pending_bytes() const noexcept { return this->send_buffer.size() - this->send_offset; }
 
@@ -88,16 +102,17 @@
     void watch() {
         this->loop.watch(this->socket, this->modes(), [weak_state = this->weak_from_this()](const int ready) {
             if (const auto state = weak_state.lock()) {
-                state->handle_ready_or_close(ready);
+                state->run_or_close([&state, ready] { state->handle_ready(ready); });
             }
         });
     }
 
     /*! @brief Closes the connection if a callback fails: the owner of the stream may have missed some of its bytes. */
-    void handle_ready_or_close(const int ready) {
+    template <typename Action>
+    void run_or_close(const Action& action) {
         const auto self_reference = this->shared_from_this();
         try {
-            this->handle_ready(ready);
+            action();
         } catch (const std::exception&) {
             this->close_and_notify(true);
             throw;
@@ -115,7 +130,12 @@
             return;
         }
         this->loop.forget(this->socket);
+        this->loop.cancel(this->acknowledgement_timer);
         try {
+            if (this->timing.waits_for_reader) {
+                // The kernel keeps what the peer hasn't read, and nobody limits the time any more.
+                internal::limit_unacknowledged(this->socket, this->timing.unacknowledged);
+            }
             this->socket.close();
         } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
             // The peer has already closed the connection.
@@ -155,6 +175,7 @@
             return;
         }
         this->connecting = false;
+        this->wait_for_reader();
         this->update_modes();
         if (const auto actions = this->callbacks; actions && actions->connected) {
             actions->connected();
@@ -182,6 +203,37 @@
         }
     }
 
+    void wait_for_reader() {
+        if (this->timing.waits_for_reader) {
+            internal::limit_unacknowledged(this->socket, milliseconds::zero());
+        }
+    }
+
+    /*! @brief Looks whether the peer acknowledges, until everything is acknowledged. */
+    void watch_acknowledgements() {
+        this->acknowledgement_timer = this->loop.after(
+            this->timing.unacknowledged / internal::looks_per_longest_silence, [weak_state = this->weak_from_this()] {
+                if (const auto state = weak_state.lock()) {
+                    state->acknowledgement_timer = 0U;
+                    state->run_or_close([&state] { state->examine_acknowledgements(); });
+                }
+            });
+    }
+
+    void examine_acknowledgements() {
+        using state = internal::acknowledgement_watch::state;
+        switch (this->acknowledgements.examine(this->socket, this->loop.now())) {
+        case state::settled:
+            break;
+        case state::waiting:
+            this->watch_acknowledgements();
+            break;
+        case state::silent:
+            this->close_and_notify(true);
+            break;
+        }
+    }
+
     /*! @brief Frees the part of the buffer that was sent; most of a large buffer would be moved too often otherwise. */
     void drop_sent() {
         if (this->pending_bytes() == 0U) {
@@ -216,6 +268,10 @@
                     break;
                 }
                 this->sent_any = true;
+                if (this->timing.waits_for_reader && this->acknowledgement_timer == 0U) {
+                    this->acknowledgements.begin(this->loop.now());
+                    this->watch_acknowledgements();
+                }
                 this->send_offset += static_cast<std::size_t>(count);
             }
         } catch (const Poco::Exception& error) {
@@ -241,7 +297,7 @@
         Poco::Net::StreamSocket socket{address.family()};
         internal::configure(socket, timing);
         socket.connectNB(address);
-        auto state = std::make_shared<implementation>(loop, socket, std::move(callbacks));
+        auto state = std::make_shared<implementation>(loop, socket, timing, std::move(callbacks));
         state->connecting = true;
         state->watch();
         return std::unique_ptr<stream>{new stream{std::move(state)}};
@@ -254,8 +310,9 @@
 stream::stream(std::shared_ptr<implementation> state) noexcept : self{std::move(state)} {}
 
 stream::stream(event_loop& loop, const Poco::Net::StreamSocket& accepted, const stream_timing& timing, events callbacks)
-    : self{std::make_shared<implementation>(loop, accepted, std::move(callbacks))} {
+    : self{std::make_shared<implementation>(loop, accepted, timing, std::move(callbacks))} {
     internal::configure(this->self->socket, timing);
+    this->self->wait_for_reader();
     this->self->watch();
 }
 
--- a/src/mangopulley/loop/stream.hpp
+++ b/src/mangopulley/loop/stream.hpp
@@ -16,10 +16,12 @@
 
 /*! @brief Timeouts that detect an unresponsive peer; a network partition sends no reset. */
 struct stream_timing {
-    /*! @brief Maximum time for which sent bytes may remain unacknowledged (TCP_USER_TIMEOUT). */
+    /*! @brief Maximum time for which sent bytes may remain unacknowledged. */
     milliseconds unacknowledged{3'000};
     /*! @brief Idle time before the first keep-alive probe, rounded up to whole seconds; zero disables keep-alive. */
     milliseconds keep_alive{0};
+    /*! @brief Whether a peer that acknowledges but reads nothing is waited for; the owner then limits the time. */
+    bool waits_for_reader{false};
 };
 
 /**
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -773,6 +773,42 @@
     await([&] { return result->status == 200; });
 }
 
+// Guards against giving up a target that is alive but reads nothing for longer than it takes to notice a lost one.
+TEST(forwarder_in_parts, waits_for_a_target_that_reads_nothing_for_seconds) {
+    configure(seconds{8});
+    list_raw_target();
+    peer->on_bytes = [](fake::raw_peer::connection& from) { from.bytes->pause_reading(true); };
+    constexpr std::size_t length = 8'000'000U;
+    const auto result = upload(std::string(length, 'x'), length);
+    auto& connection = first_connection();
+    for (const auto end = time.now() + milliseconds{2'500}; time.now() < end;) {
+        loop.turn(milliseconds{5});
+    }
+    LONGS_EQUAL(0, result->status);
+    CHECK_TRUE(memory.reserved() <= 2U * longest_held_body);
+    peer->on_bytes = {};
+    connection.bytes->pause_reading(false);
+    await([&] { return connection.received.size() > length; });
+    connection.bytes->send(response_head("Content-Length: 0\r\n"));
+    await([&] { return result->status == 200; });
+}
+
+// Guards against a target that reads nothing and so holds a request and its memory beyond the time limit.
+TEST(forwarder_in_parts, ends_an_upload_to_a_target_that_reads_nothing_at_the_time_limit) {
+    constexpr seconds limit{3};
+    configure(limit);
+    list_raw_target();
+    peer->on_bytes = [](fake::raw_peer::connection& from) { from.bytes->pause_reading(true); };
+    constexpr std::size_t length = 8'000'000U;
+    const auto began = time.now();
+    const auto result = upload(std::string(length, 'x'), length);
+    await([&] { return result->status != 0; });
+    LONGS_EQUAL(504, result->status);
+    CHECK_TRUE(time.now() - began >= limit);
+    LONGS_EQUAL(0, subject->open_requests());
+    LONGS_EQUAL(0, memory.reserved());
+}
+
 // Guards against a second run of an upload, and against a false statement that it did not run, when its target breaks
 // off.
 TEST(forwarder_in_parts, reports_an_upload_whose_target_breaks_off_as_unknown) {
--- a/test/mangopulley/loop/stream.cpp
+++ b/test/mangopulley/loop/stream.cpp
@@ -1,13 +1,17 @@
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
+#include <Poco/Net/ServerSocket.h>
 #include <fake/await.hpp>
 #include <fake/raw_peer.hpp>
 #include <mangopulley/loop/event_loop.hpp>
 #include <mangopulley/loop/stream.hpp>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -55,6 +59,22 @@
         listener.reset();
     }
 
+    std::unique_ptr<stream> connect(const std::string& endpoint, const stream_timing& timing,
+                                    std::function<void(bool)> closed, std::function<void()> connected = {}) {
+        std::unique_ptr<stream> connection{};
+        stream::events events{};
+        events.connected = std::move(connected);
+        events.received = [](std::string_view) {};
+        events.closed = std::move(closed);
+        boost::leaf::try_handle_all(
+            [&]() -> result<void> {
+                BOOST_LEAF_ASSIGN(connection, stream::connect(loop, endpoint, timing, std::move(events)));
+                return {};
+            },
+            [] { FAIL("no connection"); });
+        return connection;
+    }
+
     void accept(const Poco::Net::StreamSocket& socket) {
         stream::events events{};
         events.received = [this](const std::string_view bytes) { received.append(bytes); };
@@ -139,6 +159,53 @@
     CHECK_TRUE(*closed_as_broken);
 }
 
+// Guards against giving up a peer that is alive and reads nothing, although its owner waits for it.
+TEST(stream, waits_for_a_peer_that_acknowledges_but_reads_nothing) {
+    constexpr milliseconds unacknowledged{300};
+    const auto text = fake::numbered_text(16U * megabyte);
+    fake::raw_peer slow{loop, true};
+    int closed = 0;
+    const auto waiting =
+        connect(slow.endpoint(), {unacknowledged, milliseconds{0}, true}, [&closed](bool) { ++closed; });
+    waiting->send(text);
+    for (const auto end = time.now() + 10 * unacknowledged; time.now() < end;) {
+        loop.turn(milliseconds{5});
+    }
+    LONGS_EQUAL(0, closed);
+    CHECK_TRUE(waiting->unsent() > 0U);
+    slow.connections.front()->bytes->pause_reading(false);
+    await([&] { return slow.connections.front()->received.size() == text.size(); });
+    CHECK_TRUE(slow.connections.front()->received == text);
+}
+
+// Guards against waiting for a host that is gone: it acknowledges nothing, and no reset comes from it.
+TEST(stream, gives_up_a_peer_that_acknowledges_nothing) {
+    constexpr milliseconds unacknowledged{300};
+    constexpr int until_bytes_come_s = 30;
+    // A listener that defers a connection until its first bytes drops these while no other one is accepted.
+    Poco::Net::ServerSocket deaf{};
+    deaf.bind(Poco::Net::SocketAddress{"127.0.0.1:0"});
+    deaf.setOption(IPPROTO_TCP, TCP_DEFER_ACCEPT, until_bytes_come_s);
+    deaf.listen(0);
+    std::optional<bool> closed_as_broken{};
+    bool open = false;
+    const auto waiting = connect(
+        deaf.address().toString(), {unacknowledged, milliseconds{0}, true},
+        [&closed_as_broken](const bool was_broken) { closed_as_broken = was_broken; }, [&open] { open = true; });
+    await([&open] { return open; });
+    Poco::Net::StreamSocket other{deaf.address()};
+    other.sendBytes("x", 1);
+    // Idle for longer than the limit: the silence counts from the first byte, not from the last one received.
+    for (const auto end = time.now() + 2 * unacknowledged; time.now() < end;) {
+        loop.turn(milliseconds{5});
+    }
+    const auto sent = time.now();
+    waiting->send("x");
+    await([&closed_as_broken] { return closed_as_broken.has_value(); });
+    CHECK_TRUE(*closed_as_broken);
+    CHECK_TRUE(time.now() - sent >= unacknowledged);
+}
+
 // Guards against a loop that turns without a pause while no file descriptor is free for a connection that waits.
 TEST(stream, pauses_while_no_descriptor_is_free) {
     int accepted = 0;
