--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -412,6 +412,32 @@
     }
 }
 
+// Guards against a response that a target broke off in its head, or before its end, and that callers get as a whole
+// one.
+TEST(forwarder, never_completes_a_response_that_breaks_off) {
+    const std::string head{"HTTP/1.1 200 OK\r\nX-Id: 5\r\nX-Stamp: s\r\nKeep-Alive: timeout=9\r\n"};
+    const std::vector<std::string> responses{head + "Content-Length: 0\r\n\r\n", head + "Content-Length: 2\r\n\r\nab",
+                                             head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                                             "HTTP/1.1 204 Empty\r\nX-Id: 5\r\nX-Stamp: s\r\n\r\n",
+                                             "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n"};
+    std::string sent{};
+    configure();
+    auto& target = add_target([&sent](connection& from, const http_request&) {
+        from.write(sent);
+        from.close();
+    });
+    for (const auto& whole : responses) {
+        for (std::size_t length = 0U; length < whole.size(); ++length) {
+            sent = whole.substr(0U, length);
+            // A new entry each time, so that earlier failures don't count against the target.
+            targets.front()->id = "t" + std::to_string(target.received.size());
+            list_targets();
+            const auto result = request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x");
+            LONGS_EQUAL_TEXT(502, result.status, sent.c_str());
+        }
+    }
+}
+
 // Guards against a stale entry that costs a send and a retry again and again: another target answers at its address.
 TEST(forwarder, leaves_a_target_alone_whose_address_another_one_has) {
     configure();
