--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "abandoned_attempts.hpp"
+#include "attempt_sender.hpp"
 #include "forwarded_head.hpp"
 #include "gateway_response.hpp"
 #include "request_upload.hpp"
@@ -33,8 +34,6 @@
 constexpr duration free_target_retry_after{std::chrono::milliseconds{10}};
 // Other instances serve a caller that a stopping one refuses.
 constexpr duration other_instance_retry_after{std::chrono::milliseconds{10}};
-// A response that breaks off while it is held can still be replaced by another attempt's.
-constexpr std::size_t longest_held_response = 131'072U;
 
 } // namespace
 
@@ -46,6 +45,7 @@
     channel_pool channels{this->deps.loop};
     service_queues services;
     route_estimates estimates{this->constants.initial_work_share};
+    internal::attempt_sender sender{{this->deps.wire_dialect, this->channels, this->deps.metric_sink, this->deps.log}};
     std::unordered_set<internal::transaction_pointer> transactions{};
     internal::abandoned_attempts abandoned{
         {this->deps.loop, this->deps.wire_dialect, this->services, this->channels, this->constants.abandoned_timeout}};
@@ -168,60 +168,24 @@
         attempt.slowdown = this->services.slowdown(transaction->service, *target);
         attempt.reading_age = target->reading_age(sent_at);
         attempt.expected = std::chrono::duration_cast<duration>(entry->work * attempt.slowdown);
-        attempt.channel = this->channels.take(target->listing.endpoint, transaction->metadata.request_id);
+        this->sender.connect(*transaction, attempt);
         if (transaction->first_sent_at == time_point{}) {
             transaction->first_sent_at = sent_at;
             transaction->first_slowdown = attempt.slowdown;
             transaction->first_reading_age = attempt.reading_age;
         }
         ++transaction->attempt_count;
-        transaction->tried_targets.push_back(target->listing.id);
-        transaction->tried_connections.push_back(target->listing.endpoint +
-                                                 (attempt.channel->opened() ? "/kept" : "/new"));
         const auto number = attempt.number;
         const auto expected = attempt.expected;
         transaction->open_attempts.push_back(std::move(attempt));
-        this->begin_exchange(transaction, transaction->open_attempts.back());
+        this->sender.send(*transaction, transaction->open_attempts.back(),
+                          [this, transaction, number](exchange_outcome&& outcome) {
+                              this->complete_attempt(transaction, number, std::move(outcome));
+                          });
         internal::upload_body(transaction, number);
         this->schedule_hedge(transaction, expected);
     }
 
-    /*! @brief Sends the request, or as much of it as is held, on the channel of an attempt. */
-    void begin_exchange(const internal::transaction_pointer& transaction, const internal::attempt& attempt) {
-        const auto& request = transaction->exchange->request();
-        const bool body_held = transaction->exchange->body_held();
-        const auto head = forwarded_request_head(request, body_held, this->deps.wire_dialect, attempt.target->listing,
-                                                 transaction->deadline - attempt.sent_at);
-        const auto beginning = body_held ? std::string{} : forwarded_body_part(request, {request.body});
-        attempt.channel->send(
-            {head, body_held ? request.body : beginning, !body_held, request.is_head(), internal::longest_held_response,
-             transaction->metadata.request_id},
-            [this, id = transaction->metadata.request_id, target = attempt.target,
-             reused = attempt.channel->opened()](const http_response& response) {
-                return this->accept_or_discard(response, id, reused, target->listing);
-            },
-            [this, transaction, number = attempt.number](exchange_outcome&& outcome) {
-                this->complete_attempt(transaction, number, std::move(outcome));
-            });
-    }
-
-    /*! @brief Returns whether a response belongs to the request with this id; logs one that does not. */
-    [[nodiscard]] bool accept_or_discard(const http_response& response, const std::string& id, const bool reused,
-                                         const listed_target& target) const {
-        const auto metadata = this->deps.wire_dialect.read_response(response);
-        if (internal::answers_request(metadata, id, reused)) {
-            return true;
-        }
-        this->deps.log.request("response_discarded", {{"request_id", id},
-                                                      {"found_id", metadata.request_id},
-                                                      {"status", std::to_string(response.status())},
-                                                      {"not_executed", metadata.not_executed ? "yes" : "no"},
-                                                      {"target", target.id},
-                                                      {"endpoint", target.endpoint}});
-        this->deps.metric_sink.count("responses_discarded_total");
-        return false;
-    }
-
     void schedule_hedge(const internal::transaction_pointer& transaction, const duration expected) {
         if (!transaction->matched_route->idempotent || transaction->hedge_timer != 0U ||
             !transaction->exchange->body_held()) {
