--- a/bench/common/senders.hpp
+++ b/bench/common/senders.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include <mangopulley/core/http_session.hpp>
+#include <mangopulley/http/http_session.hpp>
 
 #include "load_generator.hpp"
 
--- a/src/mangopulley/cli/entry_version.cpp
+++ b/src/mangopulley/cli/entry_version.cpp
@@ -10,8 +10,8 @@
 #include <nlohmann/json.hpp>
 
 #include "../core/clock.hpp"
-#include "../core/http_session.hpp"
 #include "../core/yaml_value.hpp"
+#include "../http/http_session.hpp"
 
 namespace mangopulley {
 
--- a/src/mangopulley/cli/query_command.cpp
+++ b/src/mangopulley/cli/query_command.cpp
@@ -9,7 +9,7 @@
 #include <Poco/URI.h>
 #include <nlohmann/json.hpp>
 
-#include "../core/http_session.hpp"
+#include "../http/http_session.hpp"
 #include "command.hpp"
 #include "command_line.hpp"
 
--- a/src/mangopulley/http/fwd.hpp
+++ b/src/mangopulley/http/fwd.hpp
@@ -5,6 +5,7 @@
 class body_decoder;
 class http_channel;
 class http_server;
+class http_session;
 class memory_budget;
 class memory_reservation;
 class request_parser;
--- a/src/mangopulley/core/http_session.hpp
+++ b/src/mangopulley/http/http_session.hpp
@@ -9,7 +9,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/StreamSocket.h>
 
-#include "fwd.hpp"
+#include "../core/fwd.hpp"
 
 namespace mangopulley {
 
--- a/src/mangopulley/limit/alert_gate.cpp
+++ b/src/mangopulley/limit/alert_gate.cpp
@@ -14,7 +14,7 @@
 #include <Poco/URI.h>
 #include <nlohmann/json.hpp>
 
-#include "../core/http_session.hpp"
+#include "../http/http_session.hpp"
 
 namespace mangopulley {
 
--- a/src/mangopulley/target/http_target_client.cpp
+++ b/src/mangopulley/target/http_target_client.cpp
@@ -10,7 +10,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 
-#include "../core/http_session.hpp"
+#include "../http/http_session.hpp"
 
 namespace mangopulley {
 
--- a/test/mangopulley/core/http_session.cpp
+++ b/test/mangopulley/http/http_session.cpp
@@ -9,7 +9,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
-#include <mangopulley/core/http_session.hpp>
+#include <mangopulley/http/http_session.hpp>
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/standin/common/http.cpp
+++ b/test/standin/common/http.cpp
@@ -5,7 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <mangopulley/core/http_session.hpp>
+#include <mangopulley/http/http_session.hpp>
 
 namespace standin {
 
