--- a/test/mangopulley/http/http_server.cpp
+++ b/test/mangopulley/http/http_server.cpp
@@ -70,3 +70,28 @@
     CHECK_TRUE_TEXT(received.ends_with("/second"), received.c_str());
     server.stop();
 }
+
+// Guards against a request that its caller broke off in its head or body, and that is run nevertheless.
+TEST(http_server, runs_no_request_that_was_cut) {
+    std::atomic<std::size_t> run{};
+    const auto port = Poco::Net::ServerSocket{Poco::Net::SocketAddress{"127.0.0.1", 0}}.address().toString();
+    mangopulley::http_server server{"server", port, 1U, {}, [&](mangopulley::http_request&& /*request*/) {
+                                        ++run;
+                                        return mangopulley::http_reply{};
+                                    }};
+    server.start();
+    for (const std::string whole : {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nX-Note: a\r\n\r\n",
+                                    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n\r\n\r\n"}) {
+        for (std::size_t cut = 0U; cut <= whole.size(); ++cut) {
+            run = 0U;
+            Poco::Net::StreamSocket caller{Poco::Net::SocketAddress{port}};
+            caller.sendBytes(whole.data(), static_cast<int>(cut));
+            caller.shutdownSend();
+            char buffer[1'024]; // NOLINT(cppcoreguidelines-pro-type-member-init)
+            while (caller.receiveBytes(buffer, sizeof(buffer)) > 0) {
+            }
+            CHECK_EQUAL_TEXT(cut == whole.size() ? 1U : 0U, run.load(), whole.substr(0U, cut).c_str());
+        }
+    }
+    server.stop();
+}
