Count an answer only for the request that it names in the entry

Cause: the entry told only a refusal with the attempt's own id apart. A refusal with another id, and every other answer, counted by its place on the kept connection, for probes too.

An answer now counts only for the attempt that it names. Targets are asked to repeat Request-Id; what names another attempt is passed over, and the connection is closed after the attempt's own answer. A target that repeats nothing is served as before, with one request per connection: an answer without an id counts only on a connection that carried nothing before. Where the attempt's own answer is missing, it may have run. Probes use connections of their own, since they have no id. Ids of attempts are never used again, so that the gateway's case of equal ids can't arise here.

The stand-in of targets repeats Request-Id, and writes late copies on request.

--- a/src/mangopulley/target/http_target_client.cpp
+++ b/src/mangopulley/target/http_target_client.cpp
@@ -47,6 +47,14 @@
     return load_report{*in_flight, *queued};
 }
 
+constexpr const char* request_id_field = "Request-Id";
+constexpr const char* shed_field = "Shed";
+
+/*! @brief Returns the id of the request that an answer belongs to; empty when it names none. */
+[[nodiscard]] std::string named_request(const Poco::Net::HTTPResponse& response) {
+    return response.get(request_id_field, response.get(shed_field, ""));
+}
+
 [[nodiscard]] boost::leaf::error_id make_target_error(const enum target_error::code code,
                                                       const std::string_view endpoint, std::string detail,
                                                       const bool draining = false) {
@@ -91,6 +99,11 @@
         }
     }
 
+    [[nodiscard]] std::unique_ptr<http_session> connect(const std::string& endpoint, const time_point deadline) const {
+        const auto limit = std::min(this->connect_timeout, this->remaining(deadline));
+        return http_session::connect(endpoint, std::max(limit, milliseconds{1}));
+    }
+
     [[nodiscard]] std::string deadline_text(const time_point deadline) const {
         const auto remaining = std::chrono::duration_cast<milliseconds>(deadline - this->time.now());
         const auto wall = std::chrono::time_point_cast<milliseconds>(this->time.wall()) + remaining;
@@ -104,12 +117,19 @@
 
 namespace internal {
 
+/*! @brief Connection that a request is sent on. */
+struct request_connection {
+    std::unique_ptr<http_session> session{};
+    /*! @brief Whether it carried other requests before, whose late answers may come. */
+    bool used{};
+};
+
 class http_exchange final : public exchange {
 public:
     http_exchange(std::shared_ptr<http_target_client::implementation> owner, std::string endpoint,
-                  std::string request_id, std::unique_ptr<http_session> session)
-        : pool{std::move(owner)}, address{std::move(endpoint)}, id{std::move(request_id)}, connection{
-                                                                                               std::move(session)} {}
+                  std::string request_id, request_connection open)
+        : pool{std::move(owner)}, address{std::move(endpoint)}, id{std::move(request_id)}, connection{std::move(open)} {
+    }
 
     [[nodiscard]] result<target_answer> receive(const time_point deadline) override {
         const auto remaining = this->pool->remaining(deadline);
@@ -117,20 +137,21 @@
             return make_target_error(target_error::code::timed_out, this->address, "deadline passed");
         }
         try {
-            this->connection->limit_receive(remaining);
+            this->connection.session->limit_receive(remaining);
             Poco::Net::HTTPResponse http_response{};
             target_answer response{};
-            response.body = this->connection->receive(http_response);
+            response.body = this->receive_own(http_response);
             response.status = http_response.getStatus();
             response.content_type = http_response.getContentType();
             response.load = parse_load(http_response.get("Load", ""));
             response.draining = http_response.get("Draining", "0") == "1";
-            auto session = std::move(this->connection);
-            if (http_response.getKeepAlive() && !response.draining) {
+            auto session = std::move(this->connection.session);
+            if (http_response.getKeepAlive() && !response.draining && !this->answer_too_many &&
+                http_response.get(request_id_field, "") == this->id) {
                 this->pool->release(this->address, std::move(session));
             }
             if (response.status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
-                http_response.get("Shed", "") == this->id) {
+                http_response.get(shed_field, "") == this->id) {
                 return make_target_error(target_error::code::shed, this->address, "shed by the target",
                                          response.draining);
             }
@@ -145,7 +166,7 @@
     }
 
     void cancel() noexcept override {
-        this->connection.reset();
+        this->connection.session.reset();
         try {
             // Best effort, on a separate connection: the request's own connection may still carry the response.
             const auto session = http_session::connect(this->address, cancel_timeout);
@@ -163,13 +184,30 @@
         }
     }
 
-    [[nodiscard]] Poco::Net::StreamSocket& socket() noexcept { return this->connection->socket(); }
+    [[nodiscard]] Poco::Net::StreamSocket& socket() noexcept { return this->connection.session->socket(); }
 
 private:
+    /*! @brief Reads the answer to this request and passes over late ones to earlier requests. An answer without an id
+     * counts only where nothing was sent before. */
+    [[nodiscard]] std::string receive_own(Poco::Net::HTTPResponse& response) {
+        while (true) {
+            auto body = this->connection.session->receive(response);
+            const auto named = named_request(response);
+            if (named.empty() ? !this->connection.used : named == this->id) {
+                return body;
+            }
+            if (named.empty() || !this->connection.used) {
+                throw Poco::Net::MessageException{"answer names another request or none"};
+            }
+            this->answer_too_many = true;
+        }
+    }
+
     std::shared_ptr<http_target_client::implementation> pool;
     std::string address;
     std::string id;
-    std::unique_ptr<http_session> connection;
+    request_connection connection;
+    bool answer_too_many{};
 };
 
 } // namespace internal
@@ -183,13 +221,13 @@
 result<std::unique_ptr<exchange>> http_target_client::begin(const std::string_view endpoint,
                                                             const target_request& request) {
     const std::string address{endpoint};
-    std::unique_ptr<http_session> session{};
+    internal::request_connection connection{};
     try {
-        session =
+        connection.session =
             this->self->acquire(endpoint, request.idempotent ? internal::max_idle : internal::max_idle_non_idempotent);
-        if (!session) {
-            const auto limit = std::min(this->self->connect_timeout, this->self->remaining(request.deadline));
-            session = http_session::connect(address, std::max(limit, milliseconds{1}));
+        connection.used = connection.session != nullptr;
+        if (!connection.used) {
+            connection.session = this->self->connect(address, request.deadline);
         }
     } catch (const Poco::Exception& error) {
         return internal::make_target_error(target_error::code::not_sent, endpoint, error.displayText());
@@ -200,17 +238,17 @@
         http_request.setHost(address);
         http_request.setContentLength(static_cast<std::streamsize>(request.body.size()));
         http_request.setContentType(request.content_type);
-        http_request.set("Request-Id", request.request_id);
+        http_request.set(internal::request_id_field, request.request_id);
         http_request.set("Deadline-Unix-Ms", this->self->deadline_text(request.deadline));
         if (!request.traceparent.empty()) {
             http_request.set("traceparent", request.traceparent);
         }
-        session->send(http_request, request.body);
+        connection.session->send(http_request, request.body);
     } catch (const Poco::Exception& error) {
         return internal::make_target_error(target_error::code::broken, endpoint, error.displayText());
     }
     return std::unique_ptr<exchange>{
-        std::make_unique<internal::http_exchange>(this->self, address, request.request_id, std::move(session))};
+        std::make_unique<internal::http_exchange>(this->self, address, request.request_id, std::move(connection))};
 }
 
 std::optional<std::size_t> http_target_client::wait_any(const std::span<exchange* const> open, const time_point until) {
@@ -236,14 +274,13 @@
 result<load_report> http_target_client::probe(const std::string_view endpoint, const time_point deadline) {
     const std::string address{endpoint};
     try {
-        auto session = this->self->acquire(endpoint, internal::max_idle);
-        if (!session) {
-            session = http_session::connect(address, this->self->connect_timeout);
-        }
+        // A connection of its own: a probe has no id by which late answers to requests could be told apart.
+        const auto session = this->self->connect(address, deadline);
         Poco::Net::HTTPRequest http_request{Poco::Net::HTTPRequest::HTTP_GET, "/load",
                                             Poco::Net::HTTPMessage::HTTP_1_1};
         http_request.setHost(address);
         http_request.setContentLength(0);
+        http_request.setKeepAlive(false);
         http_request.set("Deadline-Unix-Ms", this->self->deadline_text(deadline));
         session->limit_receive(this->self->remaining(deadline));
         session->send(http_request, {});
@@ -254,9 +291,6 @@
             return internal::make_target_error(target_error::code::malformed, endpoint,
                                                "response has no valid Load header");
         }
-        if (response.getKeepAlive()) {
-            this->self->release(address, std::move(session));
-        }
         return *report;
     } catch (const Poco::Exception& error) {
         return internal::make_target_error(target_error::code::broken, endpoint, error.displayText());
--- a/src/mangopulley/target/target_client.hpp
+++ b/src/mangopulley/target/target_client.hpp
@@ -25,7 +25,8 @@
 /*! @brief Request as it is sent to a target. */
 struct target_request {
     std::string kind{};
-    /*! @brief Unique per attempt; a target that sheds the request echoes this id. */
+    /*! @brief Unique per attempt and never empty; a target repeats it in its answer, by which late answers to other
+     * requests are told apart. */
     std::string request_id{};
     std::string body{};
     std::string content_type{"application/octet-stream"};
@@ -57,7 +58,7 @@
         broken,
         /*! @brief No complete response before the deadline; the request may have run. */
         timed_out,
-        /*! @brief The response was truncated or not framed correctly; the request may have run. */
+        /*! @brief The response was truncated, not framed correctly or not that to this request; it may have run. */
         malformed,
         /*! @brief The request was cancelled by this process; it may have run. */
         cancelled
--- a/test/integration/orders_under_faults.cpp
+++ b/test/integration/orders_under_faults.cpp
@@ -250,6 +250,12 @@
 void shed_at_one(scene& stage) {
     stage.system.set_target(integration::order_service_name, 0U, {{"shed_percent", 100}});
 }
+void copy_answers(scene& stage) {
+    stage.set_targets({{"shed_percent", 40}, {"late_copies", 1'000'000}});
+}
+void copy_no_answers(scene& stage) {
+    stage.set_targets({{"shed_percent", 0}, {"late_copies", 0}});
+}
 void lose_replies(scene& stage) {
     stage.wait_starts(1U);
     stage.set_links({{"lose_reply", 0}}, {{"lose_reply", 4}});
@@ -309,6 +315,17 @@
     }
 }
 
+void check_answers_came_twice(scene& stage) {
+    std::size_t copies = 0U;
+    std::size_t refusals = 0U;
+    for (std::size_t target = 0U; target < target_count; ++target) {
+        const auto counts = stage.system.target_counts(integration::order_service_name, target);
+        copies += counts.at("late_copies").get<std::size_t>();
+        refusals += counts.at("shed").get<std::size_t>();
+    }
+    CHECK_TRUE(copies > 0U && refusals > 0U);
+}
+
 /*! @brief One fault or pair of faults, and the least numbers of outcomes that show that it took effect. */
 struct fault_row {
     const char* name{};
@@ -426,6 +443,10 @@
 TEST(orders_under_faults, one_target_sheds) {
     run_row({"one target sheds", shed_at_one, do_nothing, false, wave, 0U, 0U, check_shed_orders_move});
 }
+TEST(orders_under_faults, answers_and_refusals_come_twice) {
+    run_row({"answers and refusals come twice", copy_answers, copy_no_answers, false, 1U, 0U, 0U,
+             check_answers_came_twice});
+}
 TEST(orders_under_faults, replies_of_the_home_lost) {
     run_row({"replies of the home lost", lose_replies, do_nothing, true, wave, 0U, 0U});
 }
--- a/test/integration/target_contract.cpp
+++ b/test/integration/target_contract.cpp
@@ -298,6 +298,33 @@
     }
 }
 
+// Guards against a copy of an earlier answer or refusal that is taken for the answer to a request that runs.
+TEST(target_contract, late_copies_meet_no_other_request) {
+    this->start({"--service-time-us", "500"});
+    this->behave({{"shed_percent", 50}, {"late_copies", 1'000'000}});
+    http_target_client client{this->still, connect_timeout, 8U};
+    for (int number = 0; number < 100; ++number) {
+        const auto request = this->make(this->still, "r" + std::to_string(number), soon, number % 2 == 0);
+        const auto seen = send(client, this->target->address(), request);
+        CHECK_TRUE_TEXT(seen.answers(request) || seen.failed_with(code::shed), request.request_id.c_str());
+        CHECK_EQUAL(seen.error ? 0U : 1U, this->events("start", request.request_id).size());
+    }
+    CHECK_TRUE(this->count("late_copies") > 0U);
+}
+
+// Guards against a target that names no requests in its answers and gets no work, or answers in each other's place.
+TEST(target_contract, serves_targets_that_name_no_requests) {
+    this->start({"--service-time-us", "500"});
+    this->behave({{"shed_percent", 50}, {"name_requests", false}, {"late_copies", 1'000'000}});
+    http_target_client client{this->still, connect_timeout, 8U};
+    for (int number = 0; number < 100; ++number) {
+        const auto request = this->make(this->still, "r" + std::to_string(number), soon, number % 2 == 0);
+        const auto seen = send(client, this->target->address(), request);
+        CHECK_TRUE_TEXT(seen.answers(request) || seen.failed_with(code::shed), request.request_id.c_str());
+        CHECK_EQUAL(seen.error ? 0U : 1U, this->events("start", request.request_id).size());
+    }
+}
+
 // Guards against a draining or loaded target that is not seen as such.
 TEST(target_contract, passes_on_load_and_draining) {
     this->start();
--- a/test/standin/common/http_server.cpp
+++ b/test/standin/common/http_server.cpp
@@ -71,6 +71,13 @@
         }
     }
 
+    void send(const std::string_view bytes) override {
+        if (this->socket.valid()) {
+            this->output += bytes;
+            this->flush();
+        }
+    }
+
     void send_and_close(std::string bytes) override {
         if (this->socket.valid()) {
             this->output += bytes;
--- a/test/standin/common/http_server.hpp
+++ b/test/standin/common/http_server.hpp
@@ -50,6 +50,9 @@
     /*! @brief Sends the response to the current request; nothing happens when the connection was closed. */
     virtual void respond(const http_response& response) = 0;
 
+    /*! @brief Sends bytes as they are, whether or not a request waits for a response. */
+    virtual void send(std::string_view bytes) = 0;
+
     /*! @brief Sends bytes as they are, then closes the connection in order. */
     virtual void send_and_close(std::string bytes) = 0;
 
--- a/test/standin/target.cpp
+++ b/test/standin/target.cpp
@@ -67,6 +67,8 @@
     std::uint64_t drop_requests{};
     std::uint64_t reset_requests{};
     std::uint64_t close_after_answer{};
+    bool name_requests{true};
+    std::uint64_t late_copies{};
 };
 
 struct target_counts {
@@ -79,6 +81,7 @@
     std::uint64_t dropped{};
     std::uint64_t probes{};
     std::uint64_t discarded_probes{};
+    std::uint64_t late_copies{};
     microseconds slot_busy{};
     microseconds probe_busy{};
 };
@@ -172,6 +175,37 @@
         return {status, std::move(body), std::move(content_type), std::move(headers)};
     }
 
+    /*! @brief Adds the id of the request to its answer. */
+    [[nodiscard]] http_response named(const job& work, http_response answer) const {
+        if (this->behaviour.name_requests) {
+            answer.headers.emplace_back("Request-Id", work.id);
+        }
+        return answer;
+    }
+
+    void respond(const job& work, const http_response& response) {
+        const auto answer = this->named(work, response);
+        if (this->behaviour.late_copies > 0U) {
+            this->last_answers[work.connection] = to_bytes(answer, true);
+        }
+        work.connection->respond(answer);
+    }
+
+    /*! @brief Sends the last answer on a connection once more, where the answer to the next request is due. */
+    void send_late_copy(const connection_pointer& connection) {
+        const auto position = this->last_answers.find(connection);
+        if (position == this->last_answers.end()) {
+            return;
+        }
+        const auto bytes = std::move(position->second);
+        this->last_answers.erase(position);
+        if (this->behaviour.late_copies > 0U) {
+            --this->behaviour.late_copies;
+            ++this->counts.late_copies;
+            connection->send(bytes);
+        }
+    }
+
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> report() {
         past_load shown{{}, this->running.size(), this->queue.size()};
         if (this->settings.report_lag.count() > 0) {
@@ -206,7 +240,7 @@
         this->record("shed", work);
         auto answer = this->response(503);
         answer.headers.emplace_back("Shed", this->behaviour.shed_id.empty() ? work.id : this->behaviour.shed_id);
-        work.connection->respond(answer);
+        this->respond(work, answer);
     }
 
     void accept_work(const http_request& request, const connection_pointer& connection) {
@@ -218,6 +252,7 @@
         work->connection = connection;
         ++this->counts.received;
         this->record("receive", *work);
+        this->send_late_copy(connection);
         if (this->behaviour.drop_requests > 0U || this->behaviour.reset_requests > 0U) {
             const bool drop = this->behaviour.drop_requests > 0U;
             --(drop ? this->behaviour.drop_requests : this->behaviour.reset_requests);
@@ -229,7 +264,7 @@
         if (this->behaviour.fail_fast) {
             ++this->counts.failed;
             this->record("fail", *work);
-            connection->respond(this->response(this->behaviour.fail_status));
+            this->respond(*work, this->response(this->behaviour.fail_status));
             return;
         }
         if (this->random() % 100U < this->behaviour.shed_percent || expired(*work)) {
@@ -346,10 +381,10 @@
             nlohmann::json{{"target", this->name}, {"request_id", work.id}, {"kind", work.kind}, {"body", work.body}};
         const auto full = this->response(200, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
         if (this->behaviour.cut_body != "none") {
-            work.connection->send_and_close(this->cut(full));
+            work.connection->send_and_close(this->cut(this->named(work, full)));
             return;
         }
-        work.connection->respond(full);
+        this->respond(work, full);
         if (this->behaviour.close_after_answer > 0U) {
             --this->behaviour.close_after_answer;
             work.connection->close();
@@ -405,7 +440,7 @@
         if (!started) {
             answer.headers.emplace_back("Shed", id);
         }
-        work->connection->respond(answer);
+        this->respond(*work, answer);
     }
 
     void accept_probe(const http_request& request, const connection_pointer& connection) {
@@ -498,6 +533,8 @@
             set("drop_requests", changed.drop_requests);
             set("reset_requests", changed.reset_requests);
             set("close_after_answer", changed.close_after_answer);
+            set("name_requests", changed.name_requests);
+            set("late_copies", changed.late_copies);
             this->behaviour = changed;
             if (json.contains("slow_factor")) {
                 this->schedule_slowness(json);
@@ -528,6 +565,7 @@
                                                  {"dropped", shown.dropped},
                                                  {"probes", shown.probes},
                                                  {"discarded_probes", shown.discarded_probes},
+                                                 {"late_copies", shown.late_copies},
                                                  {"connections", this->server.accepted()},
                                                  {"open_connections", this->server.open()},
                                                  {"running", this->running.size()},
@@ -550,6 +588,7 @@
     std::deque<job_pointer> queue{};
     std::vector<job_pointer> running{};
     std::unordered_map<std::string, job_pointer> known{};
+    std::map<std::weak_ptr<http_connection>, std::string, std::owner_less<>> last_answers{};
     std::deque<past_load> history{};
     double slow_factor{1.0};
     bool cold{};
