Test a response without end below the caller's own limit

Any failure of the caller passed.

The target now sends 10 KB each millisecond, and the test asks that the caller's connection breaks and that this is not before the time limit; what it checked before it still checks.

--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -941,18 +941,23 @@
 // Guards against a target whose response never ends: the caller waits no longer than its time limit, and what it gets
 // does not look complete.
 TEST(forwarder_in_parts, cuts_a_response_without_end_at_the_time_limit) {
-    configure(milliseconds{300});
+    constexpr milliseconds time_limit{300};
+    configure(time_limit);
     list_raw_target();
+    const auto began = loop.now();
     const auto result = send_request("GET", "/get/a", "X-Id: 1\r\n");
     auto& connection = first_connection();
     await([&] { return !connection.received.empty(); });
     connection.bytes->send(response_head("Connection: close\r\n"));
-    await([&] {
+    // At a pace with which the response stays far below the size at which this caller itself would give up.
+    const auto flow = loop.every(milliseconds{1}, [&connection] {
         if (connection.bytes && connection.bytes->unsent() == 0U) {
             connection.bytes->send(std::string(10'000U, 'x'));
         }
-        return result->status != 0;
     });
-    LONGS_EQUAL(-1, result->status);
-    await([&] { return connection.closed; });
+    await([&result] { return result->status != 0; });
+    CHECK_TRUE(result->failure == network_error::code::broken);
+    CHECK_TRUE(loop.now() >= began + time_limit);
+    await([&connection] { return connection.closed; });
+    loop.cancel(flow);
 }
