Read and pass on documents again after a callback failed

What operators would see: an instance that never again reads the list of targets or the configuration from the store, or that serves a configuration which it has not in use, after one exception in the completion of a read.

Cause: the follower noted a read or a fetch as under way and only its completion ended that. A completion that failed before (in the decoder, for want of memory) left it so for ever. And a document was noted as the one in use before it was passed on; where passing it on failed, the same document was never passed on again.

Change: a call is taken for lost after 1.2 s (open_call), for reads, for fetches and for what departed. A configuration is noted after it was passed on; targets that could not be passed on are passed on again after the pause for retries.

Unit tests of platform_follower: reads_again_after_completions_that_failed and passes_on_again_what_could_not_be_passed_on failed before and pass.

--- a/src/mangopulley/gateway/platform_follower.cpp
+++ b/src/mangopulley/gateway/platform_follower.cpp
@@ -6,6 +6,7 @@
 
 #include "../core/fnv_hash.hpp"
 #include "document_codec.hpp"
+#include "open_call.hpp"
 #include "read_time_tracker.hpp"
 #include "target_history.hpp"
 #include "usable_targets.hpp"
@@ -36,8 +37,8 @@
     std::uint32_t read_number{};
     /*! @brief Reads reported by other instances. */
     read_time_tracker reported{};
-    bool in_progress{};
-    bool fetching{};
+    open_call read{};
+    open_call fetch{};
     bool failing{};
     time_point pause_until{};
 
@@ -69,7 +70,9 @@
     internal::document_state targets{};
     internal::document_state configs{};
     usable_targets usable{};
-    bool fetching_departures{};
+    internal::open_call departures_fetch{};
+    /*! @brief When the targets are passed on again, after that failed. */
+    std::optional<time_point> publish_again{};
     std::uint64_t reads{};
     /*! @brief Newest epoch of the store that is known. */
     std::uint64_t epoch{};
@@ -88,6 +91,9 @@
     void follow() {
         const auto time = this->now();
         this->expire_missing(time);
+        if (this->publish_again && time >= *this->publish_again) {
+            this->publish();
+        }
         // Computing the rank visits all instances; nothing is due before the age allowed for rank 0.
         if (std::max(this->targets.age(time), this->configs.age(time)) < this->rule.read_age) {
             return;
@@ -104,7 +110,7 @@
 
     [[nodiscard]] static bool due(const internal::document_state& state, const duration allowed,
                                   const time_point time) {
-        return !state.in_progress && time >= state.pause_until && state.age(time) >= allowed;
+        return !state.read.under_way(time) && time >= state.pause_until && state.age(time) >= allowed;
     }
 
     /*! @brief Starts a read, with a number that other instances are unlikely to use at the same time. */
@@ -115,10 +121,10 @@
 
     void read_targets() {
         const auto source = this->begin_read();
-        this->targets.in_progress = true;
+        this->targets.read.begin(source.as_of, this->rule.lost_call);
         this->deps.platform.read_targets(
             this->rule.call_timeout, [this, source](platform_result<target_list>&& outcome) {
-                this->targets.in_progress = false;
+                this->targets.read.end();
                 if (auto* list = std::get_if<target_list>(&outcome)) {
                     this->handle_read_targets(std::move(*list), source);
                 } else {
@@ -148,10 +154,10 @@
 
     void read_config() {
         const auto source = this->begin_read();
-        this->configs.in_progress = true;
+        this->configs.read.begin(source.as_of, this->rule.lost_call);
         this->deps.platform.read_config(
             this->rule.call_timeout, [this, source](platform_result<routing_config>&& outcome) {
-                this->configs.in_progress = false;
+                this->configs.read.end();
                 if (auto* found = std::get_if<routing_config>(&outcome)) {
                     this->handle_success("config", this->configs);
                     // Also when the version found is older, after a restore: the store has no newer one at this time.
@@ -223,8 +229,9 @@
                                                  {"routes", std::to_string(found.routes.size())},
                                                  {"from", from},
                                                  {"age_ms", internal::age_text(this->now() - source.as_of)}});
+        // First, so that a configuration that could not be passed on is not taken for the one in use.
+        this->deps.config_changed(found);
         this->config = std::move(found);
-        this->deps.config_changed(this->config);
     }
 
     /*! @brief Logs, once for each, a configuration that is not taken because it is older than the one in use. */
@@ -306,8 +313,10 @@
     }
 
     void publish() {
+        this->publish_again = this->now() + this->rule.retry_pause;
         this->usable.update(this->listed);
         this->deps.targets_changed(this->usable.list());
+        this->publish_again.reset();
     }
 
     // Documents of other instances
@@ -330,10 +339,10 @@
             this->configs.reported.earliest(record.config_read, time - record.config_age, time), record.config_read};
         if (record.config == this->config.id) {
             this->configs.confirm(source);
-        } else if (record.config > this->config.id && !this->configs.fetching) {
-            this->configs.fetching = true;
+        } else if (record.config > this->config.id && !this->configs.fetch.under_way(time)) {
+            this->configs.fetch.begin(time, this->rule.lost_call);
             this->deps.fetch(ip, "/config", [this, source, ip](std::string&& bytes) {
-                this->configs.fetching = false;
+                this->configs.fetch.end();
                 if (auto found = decode_config(bytes)) {
                     this->apply_config(std::move(*found), source, ip);
                 }
@@ -349,11 +358,12 @@
 
     /*! @brief Asks an instance what has left; a list is taken from others only afterwards. */
     void fetch_departures(const std::string& ip) {
-        if (std::exchange(this->fetching_departures, true)) {
+        if (this->departures_fetch.under_way(this->now())) {
             return;
         }
+        this->departures_fetch.begin(this->now(), this->rule.lost_call);
         this->deps.fetch(ip, "/departed", [this, ip](std::string&& bytes) {
-            this->fetching_departures = false;
+            this->departures_fetch.end();
             const auto report = decode_departed(bytes);
             if (!report || this->usable.knows_departures()) {
                 return;
@@ -395,14 +405,14 @@
         if (record.targets_position < this->listed.position) {
             return;
         }
-        if (this->apply_inline_changes(target_changes, source, ip) || this->targets.fetching) {
+        if (this->apply_inline_changes(target_changes, source, ip) || this->targets.fetch.under_way(time)) {
             return;
         }
-        this->targets.fetching = true;
+        this->targets.fetch.begin(time, this->rule.lost_call);
         const bool from_changes = this->targets.as_of && !std::exchange(this->fetch_whole_list, false);
         const auto path = from_changes ? "/targets?since=" + std::to_string(this->digest) : std::string{"/targets"};
         this->deps.fetch(ip, path, [this, source, ip](std::string&& bytes) {
-            this->targets.fetching = false;
+            this->targets.fetch.end();
             this->apply_response(bytes, source, ip);
         });
     }
--- a/src/mangopulley/gateway/platform_follower.hpp
+++ b/src/mangopulley/gateway/platform_follower.hpp
@@ -26,6 +26,8 @@
     /*! @brief Age at which every instance reads, whatever its rank. */
     duration max_age{std::chrono::milliseconds{1'550}};
     duration call_timeout{std::chrono::milliseconds{600}};
+    /*! @brief Time after which a call is taken for lost whose completion did not come at all. */
+    duration lost_call{std::chrono::milliseconds{1'200}};
     /*! @brief Pause after a failed call for the lowest ranks. */
     duration retry_pause{std::chrono::milliseconds{250}};
     /*! @brief The pause doubles every this many ranks, up to `max_retry_pause`; the lowest ranks probe for all
--- a/test/mangopulley/gateway/platform_follower.cpp
+++ b/test/mangopulley/gateway/platform_follower.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
     target_list targets{};
     routing_config config{};
     bool unavailable{};
+    /*! @brief Whether completions fail before they tell anything. */
+    bool lost{};
     std::uint64_t calls{};
 
     void change_targets(const std::vector<std::string>& ids, const std::string& draining = {}) {
@@ -81,6 +84,9 @@
     void respond(const duration timeout, const Type& value, completion<Type> done) {
         ++this->call_count;
         ++this->platform.calls;
+        if (this->platform.lost) {
+            return;
+        }
         if (this->platform.unavailable || this->refused) {
             this->loop.after(timeout, [done = std::move(done)] { done(platform_error{}); });
             return;
@@ -104,6 +110,15 @@
         /*! @brief Newest start of all usable targets. */
         std::uint64_t latest_born{};
         bool isolated{};
+        /*! @brief How often passing on what was read fails. */
+        int failures{};
+
+        void fail_if_asked() {
+            if (this->failures > 0) {
+                --this->failures;
+                throw std::runtime_error{"passed on"};
+            }
+        }
     };
 
     explicit follower_group(const std::size_t count) : instances(count) {
@@ -118,8 +133,12 @@
                 this->fetch(index, std::stoul(ip), path, std::move(done));
             };
             dependencies.announce = [this, index](const std::string& changes) { this->announce(index, changes); };
-            dependencies.config_changed = [&item](const routing_config& config) { item.version = config.id.version; };
+            dependencies.config_changed = [&item](const routing_config& config) {
+                item.fail_if_asked();
+                item.version = config.id.version;
+            };
             dependencies.targets_changed = [&item](const target_list& list) {
+                item.fail_if_asked();
                 item.usable.clear();
                 item.latest_born = 0U;
                 for (const auto& target : list.targets) {
@@ -161,6 +180,20 @@
         }
     }
 
+    /*! @brief Goes on after exceptions that leave the loop; returns their number. */
+    int pass_with_failures(const duration length) {
+        int failures = 0;
+        const auto end = this->time.now() + length;
+        while (this->time.now() < end) {
+            try {
+                this->pass(milliseconds{5});
+            } catch (const std::runtime_error&) {
+                ++failures;
+            }
+        }
+        return failures;
+    }
+
     fake::fake_clock time{};
     event_loop loop{this->time};
     decision_log log{"test", this->time, 10.0};
@@ -209,6 +242,9 @@
 
     void fetch(const std::size_t to, const std::size_t from, const std::string& path,
                std::function<void(std::string&&)> done) {
+        if (this->platform.lost) {
+            return;
+        }
         this->loop.after(milliseconds{5}, [this, to, from, path, done = std::move(done)] {
             const bool reachable = !this->instances[to].isolated && !this->instances[from].isolated;
             auto bytes = reachable ? document(*this->instances[from].follower, path) : std::string{};
@@ -522,6 +558,34 @@
     }
 }
 
+// Guards against an instance that never reads again because the completion of one read failed.
+TEST(platform_follower, reads_again_after_completions_that_failed) {
+    begin();
+    group.platform.lost = true;
+    group.pass(seconds{2});
+    group.platform.change_config(2U);
+    group.platform.change_targets({"t3"});
+    group.platform.lost = false;
+    group.pass(seconds{3});
+    CHECK_TRUE(all_have(2U));
+    // What is missing in the first list after an outage is kept for a while.
+    group.pass(seconds{3});
+    CHECK_TRUE(all_use({"t3"}));
+}
+
+// Guards against a document that is taken for the one in use although passing it on failed.
+TEST(platform_follower, passes_on_again_what_could_not_be_passed_on) {
+    begin();
+    for (auto& item : group.instances) {
+        item.failures = 2;
+    }
+    group.platform.change_config(2U);
+    group.platform.change_targets({"t3"});
+    CHECK_TRUE(group.pass_with_failures(seconds{4}) > 0);
+    CHECK_TRUE(all_have(2U));
+    CHECK_TRUE(all_use({"t3"}));
+}
+
 // Guards against sending the full target list to every instance for each change: 110 instances fetched 25 KB each from
 // a reader with a link of 10 Mbit/s, and called the platform API themselves when that took too long.
 TEST(platform_follower, fetches_only_what_changed) {
