Avoid a false warning of g++ 12 in the test of verdicts

g++ 12 reports overlapping bytes for the assignment of a literal of one character to a string; the build was clean of warnings before. 3 of 3 tests of response_verdict pass.

--- a/test/mangopulley/gateway/response_verdict.cpp
+++ b/test/mangopulley/gateway/response_verdict.cpp
@@ -1,3 +1,4 @@
+#include <string>
 #include <vector>
 
 #include <mangopulley/gateway/response_verdict.hpp>
@@ -63,7 +64,7 @@
     response_metadata metadata{};
     CHECK_TRUE(answers_request(metadata, "1", false));
     CHECK_FALSE(answers_request(metadata, "1", true));
-    metadata.request_id = "2";
+    metadata.request_id = std::string{"2"};
     CHECK_FALSE(answers_request(metadata, "1", false));
     CHECK_TRUE(answers_request(metadata, "2", true));
 }
