Count a sent attempt as possibly executed until it proves otherwise

Where the connection broke, the flag "may have executed" was set after the target's load had been recorded and passed on. An exception there, as for want of memory, ended the callback; the attempt was removed already, nothing was in flight, and the time limit answered "not executed".

Cause: the default was "not executed", to be corrected in time on each way out. It is turned round: an attempt counts as possibly executed from its sending on, and only a proof takes that back: no byte was sent, or a refusal.

--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -175,6 +175,7 @@
             transaction->first_reading_age = attempt.reading_age;
         }
         ++transaction->attempt_count;
+        ++transaction->possible_executions;
         const auto number = attempt.number;
         const auto expected = attempt.expected;
         transaction->open_attempts.push_back(std::move(attempt));
@@ -254,6 +255,7 @@
         if (!outcome.sent) {
             this->end_attempt(transaction->service, attempt, send_outcome::unreachable, std::nullopt);
             --transaction->attempt_count;
+            --transaction->possible_executions;
             if (++transaction->failed_connects <= internal::max_failed_connects) {
                 this->enqueue(transaction);
             }
@@ -266,7 +268,6 @@
     void handle_indeterminate(const internal::transaction_pointer& transaction, internal::attempt& attempt,
                               const std::optional<load_reading>& load) {
         this->end_attempt(transaction->service, attempt, send_outcome::failed, load);
-        transaction->may_have_executed = true;
         if (transaction->matched_route->idempotent && this->acquire_retry(transaction)) {
             this->enqueue(transaction);
         }
@@ -318,6 +319,7 @@
     void handle_refusal(const internal::transaction_pointer& transaction, internal::attempt& attempt,
                         const send_outcome outcome, const std::optional<load_reading>& load) {
         this->end_attempt(transaction->service, attempt, outcome, load);
+        --transaction->possible_executions;
         const bool has_free_slot = load && !load->is_full();
         (has_free_slot ? transaction->rejected_by_free_target : transaction->rejected_by_full_target) = true;
         transaction->cause = outcome == send_outcome::shed ? "shed" : "another_target";
@@ -330,7 +332,6 @@
     void handle_execution(const internal::transaction_pointer& transaction, internal::attempt& attempt,
                           exchange_outcome&& outcome, const bool failed) {
         auto& response = outcome.response;
-        transaction->may_have_executed = true;
         transaction->answered_by = attempt.target->listing.id;
         if (!failed && transaction->exchange->body_held()) {
             this->estimates.record_work(*transaction->matched_route, this->now() - attempt.sent_at, attempt.slowdown);
@@ -371,7 +372,7 @@
         }
         if (transaction->fallback_response) {
             this->forward_response(transaction, *transaction->fallback_response);
-        } else if (transaction->may_have_executed) {
+        } else if (transaction->possible_executions > 0U) {
             this->respond(transaction, {502, transaction->cause});
         } else {
             if (transaction->retry_after == duration::zero()) {
@@ -391,7 +392,6 @@
         if (transaction->finished) {
             return;
         }
-        const bool in_flight = !transaction->open_attempts.empty();
         for (auto& attempt : transaction->open_attempts) {
             // An attempt that took over twice its expected time counts against the target; otherwise the deadline was
             // short.
@@ -401,7 +401,7 @@
         transaction->open_attempts.clear();
         if (transaction->fallback_response) {
             this->forward_response(transaction, *transaction->fallback_response);
-        } else if (in_flight || transaction->may_have_executed) {
+        } else if (transaction->possible_executions > 0U) {
             this->respond(transaction, {504, "time_limit"});
         } else {
             this->respond(transaction, {503, "time_limit"});
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -56,8 +56,8 @@
     std::vector<std::shared_ptr<queue_entry>> queue_entries{};
     /*! @brief Whether a part of the body that is no longer held went to a target; the request cannot be sent again. */
     bool body_passed_on{};
-    /*! @brief Whether a target may have executed the request. */
-    bool may_have_executed{};
+    /*! @brief Attempts that may have been executed: all that were sent, until one proves that it was not. */
+    std::uint32_t possible_executions{};
     /*! @brief Whether a target rejected the request although it reported a free slot. */
     bool rejected_by_free_target{};
     /*! @brief Whether a target rejected the request while it had no free slot, or did not report its load. */
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -57,7 +57,8 @@
 
 TEST_GROUP(forwarder) {
     system_clock_source time{};
-    event_loop loop{time};
+    // As in the real process, an exception ends one callback only.
+    event_loop loop{time, [](const std::exception&) {}};
     fake::plain_dialect dialect{};
     route_table routes{};
     metrics metric_sink{time};
@@ -126,10 +127,11 @@
         subject->update_targets(list);
     }
 
-    /*! @brief Lists a target as it is after it started again at its address while its former entry is still there. */
-    void list_under_two_ids(const loopback_target& target) {
+    /*! @brief Lists a target under these ids: under two as after it started again at its address, while its former
+     * entry is still there. */
+    void list_as(const std::vector<std::string>& ids, const loopback_target& target) {
         target_list list{{0U, 1U}, {}};
-        for (const auto* id : {"before", "after"}) {
+        for (const auto& id : ids) {
             listed_target listing{};
             listing.id = id;
             listing.service = "proof";
@@ -402,7 +404,7 @@
             first = &from;
             from.write("HTTP/1.1 " + item.refusal + "X-Id: 5\r\nContent-Length: 0\r\n\r\n");
         });
-        list_under_two_ids(target);
+        list_as({"before", "after"}, target);
         caller_result result{};
         for (int send = 0; send < item.sends; ++send) {
             result = request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x");
@@ -412,6 +414,23 @@
     }
 }
 
+// Guards against a caller that is told "not executed" of a request that a target got, because an exception ended the
+// callback that was to note it.
+TEST(forwarder, promises_nothing_after_a_callback_that_failed) {
+    configure(milliseconds{400});
+    auto& target = add_target([](connection& from, const http_request&) { from.close(); });
+    bool failed = false;
+    subject->on_load_change([&failed](std::uint32_t, const std::uint32_t in_flight) {
+        if (in_flight == 0U && !std::exchange(failed, true)) {
+            throw std::bad_alloc{};
+        }
+    });
+    const auto result = request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x");
+    LONGS_EQUAL(1, target.received.size());
+    CHECK_TRUE(failed);
+    LONGS_EQUAL(504, result.status);
+}
+
 // Guards against a response that a target broke off in its head, or before its end, and that callers get as a whole
 // one.
 TEST(forwarder, never_completes_a_response_that_breaks_off) {
@@ -452,7 +471,7 @@
                        [&from, request] { from.write(loopback_target::answer(request, 200, "run")); });
         }
     });
-    list_under_two_ids(target);
+    list_as({"before", "after"}, target);
     constexpr int rounds = 20;
     constexpr int requests_at_once = 4;
     int last_id = 0;
