Use a displaced target again at a new address

The exclusion tells of an address, so it ends when the address changes.

Measured: forwarder/uses_a_displaced_target_at_its_new_address gave 503 before and gives 200 now.

--- a/src/mangopulley/gateway/target_pool.cpp
+++ b/src/mangopulley/gateway/target_pool.cpp
@@ -76,6 +76,9 @@
     next.reserve(listed.size());
     for (const auto& item : listed) {
         if (auto known = this->find(item)) {
+            if (known->listing.endpoint != item.endpoint) {
+                known->displaced_until = {};
+            }
             known->listing = item;
             known->listed = true;
             next.push_back(std::move(known));
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -431,6 +431,20 @@
     LONGS_EQUAL(504, result.status);
 }
 
+// Guards against a target that gets nothing because it was displaced at the address that it had before.
+TEST(forwarder, uses_a_displaced_target_at_its_new_address) {
+    configure();
+    auto& taken = add_target([](connection& from, const http_request& request) {
+        from.write("HTTP/1.1 421 Other\r\nX-Answering: other\r\nX-Id: " + request.head.get("X-Id") +
+                   "\r\nContent-Length: 0\r\n\r\n");
+    });
+    LONGS_EQUAL(503, request_and_wait("PUT", "/put/a", "X-Id: 1\r\nContent-Length: 1\r\n", "x").status);
+    LONGS_EQUAL(1, taken.received.size());
+    const auto moved = std::make_unique<loopback_target>(loop, "t0", respond_with(200, "moved"));
+    list_as({"t0"}, *moved);
+    LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 2\r\nContent-Length: 1\r\n", "x").status);
+}
+
 // Guards against a response that a target broke off in its head, or before its end, and that callers get as a whole
 // one.
 TEST(forwarder, never_completes_a_response_that_breaks_off) {
