Reach a target while the former one still serves its connections

Where a process starts at an address while the former one there still serves the connections that it has, as in a graceful restart, requests for the new target went over kept connections to the former one.

Cause: kept connections belong to an address, while the process behind them may be a former one. An answer of another target on a kept connection now ends that connection, and only one on a new connection tells that the listed target is gone. The same holds for probes.

--- a/src/mangopulley/gateway/abandoned_attempts.cpp
+++ b/src/mangopulley/gateway/abandoned_attempts.cpp
@@ -58,13 +58,15 @@
     if (!outcome.failure) {
         const auto metadata = deps.wire_dialect.read_response(outcome.response);
         load = metadata.load;
-        if (verdict_of(outcome.response, metadata) == response_verdict::misdirected) {
-            deps.services.record_displacement(entry.service, *entry.sent_attempt.target, metadata.target_id);
-        } else {
-            deps.services.record_advice(entry.service, *entry.sent_attempt.target, metadata.advice);
+        auto& attempt = entry.sent_attempt;
+        const bool misdirected = verdict_of(outcome.response, metadata) == response_verdict::misdirected;
+        if (!misdirected) {
+            deps.services.record_advice(entry.service, *attempt.target, metadata.advice);
+        } else if (!attempt.reused_connection) {
+            deps.services.record_displacement(entry.service, *attempt.target, metadata.target_id);
         }
-        if (outcome.reusable) {
-            deps.channels.release(entry.sent_attempt.target->listing.endpoint, std::move(entry.sent_attempt.channel));
+        if (outcome.reusable && !misdirected) {
+            deps.channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
     }
     deps.services.end(entry.service, *entry.sent_attempt.target,
--- a/src/mangopulley/gateway/attempt_sender.cpp
+++ b/src/mangopulley/gateway/attempt_sender.cpp
@@ -17,8 +17,9 @@
 void attempt_sender::connect(transaction& owner, attempt& next) const {
     const auto& target = next.target->listing;
     next.channel = this->deps.channels.take(target.endpoint, owner.metadata.request_id);
+    next.reused_connection = next.channel->opened();
     owner.tried_targets.push_back(target.id);
-    owner.tried_connections.push_back(target.endpoint + (next.channel->opened() ? "/kept" : "/new"));
+    owner.tried_connections.push_back(target.endpoint + (next.reused_connection ? "/kept" : "/new"));
 }
 
 void attempt_sender::send(const transaction& owner, const attempt& next, http_channel::completion done) const {
@@ -30,7 +31,7 @@
     next.channel->send(
         {head, body_held ? request.body : beginning, !body_held, request.is_head(), longest_held_response,
          owner.metadata.request_id},
-        [this, id = owner.metadata.request_id, target = next.target, reused = next.channel->opened()](
+        [this, id = owner.metadata.request_id, target = next.target, reused = next.reused_connection](
             const http_response& response) { return this->accept_or_discard(response, id, reused, target->listing); },
         std::move(done));
 }
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -278,13 +278,14 @@
         using verdict = internal::response_verdict;
         const auto metadata = this->deps.wire_dialect.read_response(outcome.response);
         const auto found = internal::verdict_of(outcome.response, metadata);
-        if (outcome.reusable) {
-            this->channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
-        }
-        if (found == verdict::misdirected) {
-            this->services.record_displacement(transaction->service, *attempt.target, metadata.target_id);
-        } else {
+        if (found != verdict::misdirected) {
             this->services.record_advice(transaction->service, *attempt.target, metadata.advice);
+        } else if (!attempt.reused_connection) {
+            this->services.record_displacement(transaction->service, *attempt.target, metadata.target_id);
+        }
+        // A kept connection may lead to a former process, while the present one accepts at the address.
+        if (outcome.reusable && (found != verdict::misdirected || !attempt.reused_connection)) {
+            this->channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
         switch (found) {
         case verdict::misdirected:
--- a/src/mangopulley/gateway/load_prober.cpp
+++ b/src/mangopulley/gateway/load_prober.cpp
@@ -52,10 +52,13 @@
             if (probed.reached) {
                 probed.load = metadata.load;
                 probed.advice = metadata.advice;
+            } else if (probe.reused_connection) {
+                // The connection may lead to a former process, while the present one accepts at the address.
+                probed.inconclusive = true;
             } else {
                 probed.other_target = metadata.target_id;
             }
-            if (outcome.reusable) {
+            if (outcome.reusable && !probed.inconclusive) {
                 this->channels.release(probe.endpoint, std::move(probe.channel));
             }
         }
--- a/src/mangopulley/gateway/load_prober.hpp
+++ b/src/mangopulley/gateway/load_prober.hpp
@@ -17,7 +17,8 @@
     struct probe_result {
         /*! @brief Whether the intended target responded. */
         bool reached{};
-        /*! @brief Whether a reused connection broke, which may only mean that the target had closed it as idle. */
+        /*! @brief Whether a reused connection tells nothing of the target: it broke, perhaps closed as idle, or another
+         * target answered, perhaps a former process at the address. */
         bool inconclusive{};
         std::optional<load_reading> load{};
         target_advice advice{};
--- a/src/mangopulley/gateway/transaction.hpp
+++ b/src/mangopulley/gateway/transaction.hpp
@@ -25,6 +25,8 @@
     std::uint64_t number{};
     target_pool::handle target{};
     std::unique_ptr<http_channel> channel{};
+    /*! @brief Whether the connection carried earlier exchanges. */
+    bool reused_connection{};
     time_point sent_at{};
     /*! @brief Expected slowdown of the target when it was chosen. */
     double slowdown{1.0};
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -445,6 +445,27 @@
     LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 2\r\nContent-Length: 1\r\n", "x").status);
 }
 
+// Guards against a target that is taken for gone, or not reached, because the former process at its address still
+// serves the connections that it has.
+TEST(forwarder, reaches_a_target_while_the_former_one_ends_its_connections) {
+    configure();
+    const connection* former = nullptr;
+    auto& target = add_target([&former](connection& from, const http_request& request) {
+        former = former == nullptr ? &from : former;
+        const std::string own = &from == former ? "before" : "after";
+        const auto id = request.head.get("X-Id");
+        from.write(request.head.get("X-Target") == own ? loopback_target::answer(request, 200, own)
+                                                       : "HTTP/1.1 421 Other\r\nX-Answering: " + own +
+                                                             "\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+    });
+    list_as({"before"}, target);
+    LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 1\r\nContent-Length: 1\r\n", "x").status);
+    list_as({"after"}, target);
+    // The kept connection gives the first answer.
+    LONGS_EQUAL(503, request_and_wait("PUT", "/put/a", "X-Id: 2\r\nContent-Length: 1\r\n", "x").status);
+    LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 3\r\nContent-Length: 1\r\n", "x").status);
+}
+
 // Guards against a response that a target broke off in its head, or before its end, and that callers get as a whole
 // one.
 TEST(forwarder, never_completes_a_response_that_breaks_off) {
