Keep no connection that carried a HEAD request

A late copy of a response to HEAD has a length and no body.

The copy's framing can't be told from its bytes, so a connection ends after a HEAD request. These are rare.

--- a/src/mangopulley/http/http_channel.cpp
+++ b/src/mangopulley/http/http_channel.cpp
@@ -58,6 +58,8 @@
     bool connected{};
     bool dead{};
     bool request_complete{true};
+    /*! @brief Whether the response has no body whatever its head says, as for HEAD. */
+    bool bodiless{};
     /*! @brief Whether the response is being read in parts. */
     bool streaming{};
     /*! @brief Whether the response's sender keeps the connection open. */
@@ -99,9 +101,11 @@
     }
 
     [[nodiscard]] bool is_reusable() const noexcept {
-        // A peer that answers before it has read the whole request may take the rest for the next one.
+        // A peer that answers before it has read the whole request may take the rest for the next one. A late copy of a
+        // response to HEAD would take the next response for its body.
         return this->keep_alive && !this->spoiled && !this->dead && !this->parser.started() && this->request_complete &&
-               this->connection->unsent() == 0U && this->carried_ids.size() < internal::max_carried_ids;
+               this->connection->unsent() == 0U && this->carried_ids.size() < internal::max_carried_ids &&
+               !this->bodiless;
     }
 
     void open() {
@@ -317,6 +321,7 @@
     state.foreign_responses = 0U;
     state.longest_held = request.longest_held_response;
     state.request_complete = !request.body_follows;
+    state.bodiless = request.bodiless;
     state.parser.expect_no_body(request.bodiless);
     if (!request.id.empty()) {
         state.carried_ids.push_back(std::hash<std::string_view>{}(request.id));
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -466,6 +466,30 @@
     LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 3\r\nContent-Length: 1\r\n", "x").status);
 }
 
+// Guards against a late copy of a response to HEAD, whose length tells of a body that it doesn't have, so that the copy
+// swallows the next response.
+TEST(forwarder, takes_no_response_for_the_body_of_a_late_one_to_head) {
+    configure();
+    connection* of_head = nullptr;
+    add_target([&of_head](connection& from, const http_request& request) {
+        const std::string to_head{"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nX-Id: h\r\nContent-Length: 20\r\n\r\n"};
+        of_head = of_head == nullptr ? &from : of_head;
+        if (of_head->bytes) {
+            of_head->write(to_head);
+        }
+        if (!request.is_head()) {
+            from.write(loopback_target::answer(request, 200, "run"));
+        }
+    });
+    callers.push_back(std::make_unique<http_channel>(loop, "127.0.0.1:" + std::to_string(server->port()),
+                                                     stream_timing{}, 64'000'000U));
+    bool answered = false;
+    callers.back()->send("HEAD /get/a HTTP/1.1\r\nHost: h\r\nX-Id: h\r\n\r\n", true, {},
+                         [&answered](exchange_outcome&& outcome) { answered = !outcome.failure; });
+    await([&answered] { return answered; });
+    LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x").status);
+}
+
 // Guards against a response that a target broke off in its head, or before its end, and that callers get as a whole
 // one.
 TEST(forwarder, never_completes_a_response_that_breaks_off) {
