Write no copy to a closed connection in the test of refusals

forwarder/takes_no_second_copy_of_a_refusal_for_the_answer ended with a segmentation fault in 3 of 6 runs of its group: since a 421 on a kept connection closes it, the test's target could write the copy to a connection that was gone.

--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -396,8 +396,10 @@
         connection* first = nullptr;
         auto& target = add_target([&first, &item](connection& from, const http_request& request) {
             if (first != nullptr) {
-                // A copy comes where the next answer on the connection of the refusal is due.
-                first->write("HTTP/1.1 " + item.refusal + "X-Id: 5\r\nContent-Length: 0\r\n\r\n");
+                // A copy comes where the next answer on the connection of the refusal is due, if it is still open.
+                if (first->bytes) {
+                    first->write("HTTP/1.1 " + item.refusal + "X-Id: 5\r\nContent-Length: 0\r\n\r\n");
+                }
                 from.write(loopback_target::answer(request, 200, "run"));
                 return;
             }
