Claim nothing of a repeated key that no instance was asked about

Cause: the proof that not-run needs was asked for only where the status is 503. A 404 or 400 of the instance that turns the submission away says nothing of earlier submissions of the key either.

With a key, and unless the caller says that it is the first submission, such a 404 or 400 now bears the outcome unknown and keeps its status. A malformed key was accepted nowhere and stays not-run.

Rejections by the HTTP server itself (408, 413, 431) still say not-run for any key: TODO.

--- a/src/mangopulley/entry/caller_service.cpp
+++ b/src/mangopulley/entry/caller_service.cpp
@@ -92,16 +92,21 @@
 /**
  * @brief Weakens `not-run` where an instance turned a submission away without asking the home of the key.
  *
- * Only this submission is known not to have run. An earlier one of the same key may have run through another instance,
- * unless the caller says that this is the first.
+ * Only this submission is known not to have run. An earlier one of the same key may have run through another instance
+ * or under an earlier catalogue, unless the caller says that this is the first.
  */
 [[nodiscard]] problem without_proof(problem cause, const http_request& request) {
-    if (cause.status != 503 || !request.header("Idempotency-Key") ||
-        request.header("Mangopulley-Attempt").value_or("") == "1") {
+    if (!request.header("Idempotency-Key") || request.header("Mangopulley-Attempt").value_or("") == "1") {
         return cause;
     }
-    auto weaker = unknown(std::move(cause.type), std::move(cause.detail));
-    weaker.detail += "; this submission was not run, but an earlier one of the same key may have been";
+    const std::string detail = cause.detail + "; this submission was not run, but an earlier one of the same key may "
+                                              "have been";
+    if (cause.status != 503) {
+        cause.outcome = "unknown";
+        cause.detail = detail;
+        return cause;
+    }
+    auto weaker = unknown(std::move(cause.type), detail);
     weaker.addresses = std::move(cause.addresses);
     weaker.retry_after = short_wait;
     return weaker;
@@ -216,44 +221,51 @@
     [[nodiscard]] http_reply work(const http_request& request, const std::string& request_id) {
         const auto path = internal::parse_work_path(request.path);
         if (!path) {
-            return this->fail(internal::not_found("no such path"), request_id);
+            return this->turn_away(internal::not_found("no such path"), request, request_id);
         }
         const auto document = this->catalogue.current();
         const auto* service = document->find_service(path->service);
         if (service == nullptr && !this->freshness.serving()) {
-            return this->fail(internal::without_proof(this->not_serving(path->service), request), request_id);
+            return this->turn_away(this->not_serving(path->service), request, request_id);
         }
         if (service == nullptr) {
-            return this->fail(internal::not_found("the catalogue has no service '" + path->service + "'"), request_id);
+            return this->turn_away(internal::not_found("the catalogue has no service '" + path->service + "'"), request,
+                                   request_id);
         }
         const auto* kind = service->find_kind(path->kind);
         if (kind == nullptr) {
-            return this->fail(internal::not_found("service '" + path->service + "' has no kind '" + path->kind + "'"),
-                              request_id);
+            return this->turn_away(
+                internal::not_found("service '" + path->service + "' has no kind '" + path->kind + "'"), request,
+                request_id);
         }
         if (!this->freshness.serving(service->serve_unconfirmed)) {
-            return this->fail(internal::without_proof(this->not_serving(path->service), request), request_id);
+            return this->turn_away(this->not_serving(path->service), request, request_id);
         }
+        bool headers_read = false;
         return boost::leaf::try_handle_all(
             [&]() -> result<http_reply> {
                 BOOST_LEAF_AUTO(headers, read_request_headers(request));
+                headers_read = true;
                 return this->run(*service, *kind, request, headers, request_id);
             },
             [&](const input_error& error) {
-                return this->fail(internal::bad_request(internal::describe(error)), request_id);
+                auto cause = internal::bad_request(internal::describe(error));
+                // After the headers only the key itself can be malformed, and such a key was never accepted.
+                return headers_read ? this->fail(std::move(cause), request_id)
+                                    : this->turn_away(std::move(cause), request, request_id);
             },
             [&](const refusal_error& error) { return this->refuse(error, request_id); },
             [&](const admission_timeout_error& error) {
                 auto cause = internal::not_run("deadline-passed", "the deadline passed before the limit '" +
                                                                       std::string{to_string(error.limit)} +
                                                                       "' allowed the request");
-                return this->fail(internal::without_proof(std::move(cause), request), request_id);
+                return this->turn_away(std::move(cause), request, request_id);
             },
             [&](const queue_error& error) {
                 auto cause = error.code == queue_error::code::no_target
                                  ? internal::not_run("no-target", "the service has no target")
                                  : internal::not_run("deadline-passed", "no target was free before the deadline");
-                return this->fail(internal::without_proof(std::move(cause), request), request_id);
+                return this->turn_away(std::move(cause), request, request_id);
             },
             [&](const target_error& error) {
                 return this->fail(error.not_run() ? internal::not_run("target-failed", error.detail)
@@ -352,6 +364,11 @@
         return to_reply(cause);
     }
 
+    /*! @brief Answers a submission about whose key nobody was asked. */
+    [[nodiscard]] http_reply turn_away(problem cause, const http_request& request, const std::string& request_id) {
+        return this->fail(internal::without_proof(std::move(cause), request), request_id);
+    }
+
     [[nodiscard]] http_reply refuse(const refusal_error& error, const std::string& request_id) {
         auto cause = internal::make_problem(429, "refused", "limit-reached",
                                             "The owner's limit is reached; this submission was not run", {});
--- a/test/integration/refusals.cpp
+++ b/test/integration/refusals.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "control_plane.hpp"
@@ -153,3 +154,50 @@
         check_case(tested);
     }
 }
+
+// Guards against a repeat of an order that ran, whose caller is told that it did not run because its kind is no longer
+// in the catalogue or its fields are malformed.
+TEST(refusals, claim_nothing_of_a_key_that_ran_before) {
+    using field = std::pair<std::string, std::string>;
+    const auto catalogue = [](const std::string& kind) {
+        return "services:\n  - name: seals\n    owner: tests\n    kinds: [{name: " + kind + "}]\n";
+    };
+    standin::cluster_options options{};
+    options.binary_folder = MANGOPULLEY_BINARY_DIR;
+    options.entries = 1U;
+    options.services = {{"seals", 2U, {"--service-time-us", "1000"}}};
+    cluster fleet{options};
+    CHECK_TRUE(control_plane::start(fleet, catalogue("press")));
+    std::string key{};
+    std::size_t number{};
+    const auto ran = [&] {
+        key = "key-" + std::to_string(++number);
+        return fleet.request(0U, "seals", "press", "x", {{{"Idempotency-Key", key}}}).status == 200;
+    };
+    CHECK_TRUE(standin::wait_until(ran, control_plane::start_limit));
+    CHECK_TRUE(control_plane::apply(fleet, catalogue("cut"), 1U).exit_code == 0);
+    const auto gone = [&] { return fleet.request(0U, "seals", "press", "x", {}).status == 404; };
+    CHECK_TRUE(standin::wait_until(gone, control_plane::start_limit));
+
+    struct repeat_case {
+        const char* kind;
+        std::vector<field> fields;
+        int status;
+        const char* outcome;
+    };
+    const field keyed{"Idempotency-Key", key};
+    const field malformed{"Mangopulley-Timeout-Ms", "x"};
+    const repeat_case cases[]{
+        {"press", {keyed}, 404, "unknown"},
+        {"press", {keyed, {"Mangopulley-Attempt", "2"}}, 404, "unknown"},
+        {"press", {keyed, {"Mangopulley-Attempt", "1"}}, 404, "not-run"},
+        {"press", {}, 404, "not-run"},
+        {"cut", {keyed, malformed}, 400, "unknown"},
+        {"cut", {malformed}, 400, "not-run"},
+    };
+    for (const auto& tested : cases) {
+        const auto reply = fleet.request(0U, "seals", tested.kind, "x", {tested.fields});
+        CHECK_EQUAL_TEXT(tested.status, reply.status, reply.body.c_str());
+        STRCMP_EQUAL_TEXT(tested.outcome, reply.header("Mangopulley-Outcome").c_str(), reply.body.c_str());
+    }
+}
