Bound the time of a director's whole answer

A director whose answer came byte by byte held up all alerts of an instance, and with them the refusals that need an acknowledged alert: the sender bounded each read, not the answer. It now gives up after its delivery timeout, and asks the next director; so do the commands `state` and `addresses` after theirs (no test of their own).

--- a/src/mangopulley/cli/query_command.cpp
+++ b/src/mangopulley/cli/query_command.cpp
@@ -29,6 +29,7 @@
         Poco::Net::HTTPRequest request{Poco::Net::HTTPRequest::HTTP_GET, path, Poco::Net::HTTPMessage::HTTP_1_1};
         request.setHost(address);
         request.setContentLength(0);
+        session->limit_receive(query_timeout);
         session->send(request, {});
         Poco::Net::HTTPResponse response{};
         auto body = session->receive(response);
--- a/src/mangopulley/limit/alert_gate.cpp
+++ b/src/mangopulley/limit/alert_gate.cpp
@@ -48,6 +48,7 @@
         request.setContentType("application/json");
         request.setContentLength(static_cast<std::streamsize>(body.size()));
         request.setKeepAlive(false);
+        session->limit_receive(delivery_timeout);
         session->send(request, body);
         Poco::Net::HTTPResponse response{};
         static_cast<void>(session->receive(response));
--- a/test/mangopulley/http/http_session.cpp
+++ b/test/mangopulley/http/http_session.cpp
@@ -3,11 +3,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
-#include <utility>
 
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
+#include <fake/endless_peer.hpp>
 #include <fake/scripted_peer.hpp>
 #include <mangopulley/http/http_session.hpp>
 
@@ -17,41 +14,6 @@
 
 namespace {
 
-/*! @brief Server of one connection that answers with a beginning and then one text over and over. */
-class endless_peer {
-public:
-    endless_peer(std::string beginning, std::string repeated, const std::size_t most, const milliseconds pause = {})
-        : worker{[this, beginning = std::move(beginning), repeated = std::move(repeated), most, pause] {
-              this->serve(beginning, repeated, most, pause);
-          }} {}
-    endless_peer(const endless_peer&) = delete;
-    endless_peer& operator=(const endless_peer&) = delete;
-    ~endless_peer() { this->worker.join(); }
-
-    [[nodiscard]] std::string endpoint() const { return this->listener.address().toString(); }
-    [[nodiscard]] std::size_t sent() const noexcept { return this->bytes; }
-
-private:
-    void serve(const std::string& beginning, const std::string& repeated, const std::size_t most,
-               const milliseconds pause) {
-        try {
-            auto socket = this->listener.acceptConnection();
-            socket.sendBytes(beginning.data(), static_cast<int>(beginning.size()));
-            while (this->bytes < most) {
-                socket.sendBytes(repeated.data(), static_cast<int>(repeated.size()));
-                this->bytes += repeated.size();
-                std::this_thread::sleep_for(pause);
-            }
-        } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
-            // The session has closed the connection.
-        }
-    }
-
-    Poco::Net::ServerSocket listener{Poco::Net::SocketAddress{"127.0.0.1:0"}};
-    std::atomic<std::size_t> bytes{};
-    std::thread worker;
-};
-
 constexpr milliseconds limit{10'000};
 
 [[nodiscard]] Poco::Net::HTTPRequest get_request() {
@@ -103,7 +65,7 @@
     };
     constexpr std::size_t bound = 100'000'000U;
     for (const auto& item : cases) {
-        const endless_peer peer{item.beginning, item.repeated, bound};
+        const fake::endless_peer peer{item.beginning, item.repeated, bound};
         CHECK_FALSE_TEXT(ask(peer, std::chrono::seconds{60}).has_value(), item.name);
         CHECK_TRUE_TEXT(peer.sent() < bound, item.name);
     }
@@ -112,7 +74,7 @@
 // Guards against a call that outlasts its deadline because each part of the answer comes in time.
 TEST(http_session, bounds_the_time_of_a_whole_answer) {
     constexpr std::size_t parts = 400U;
-    const endless_peer peer{"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n", "x", parts, milliseconds{25}};
+    const fake::endless_peer peer{"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n", "x", parts, milliseconds{25}};
     CHECK_FALSE(ask(peer, milliseconds{200}).has_value());
     CHECK_TRUE(peer.sent() < parts / 2U);
 }
--- /dev/null
+++ b/test/mangopulley/limit/alert_gate.cpp
@@ -0,0 +1,25 @@
+#include <chrono>
+#include <string>
+
+#include <fake/endless_peer.hpp>
+#include <fake/scripted_peer.hpp>
+#include <mangopulley/limit/alert_gate.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace mangopulley;
+
+TEST_GROUP(alert_gate){};
+
+// Guards against alerts that are held up by a director whose answer comes byte by byte, each in time.
+TEST(alert_gate, asks_the_next_director_when_an_answer_takes_too_long) {
+    constexpr std::size_t parts = 200U;
+    const fake::endless_peer slow{"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n", "x", parts,
+                                  std::chrono::milliseconds{25}};
+    const fake::scripted_peer other{[](const http_request&, std::size_t) {
+        return fake::scripted_peer::reply{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true};
+    }};
+    http_alert_sender sender{{"http://" + slow.endpoint() + "/alerts", "http://" + other.endpoint() + "/alerts"}};
+    CHECK_TRUE(sender.send({"seals", limit_kind::requests_per_second, "instance", "detail"}));
+    LONGS_EQUAL(1, other.connections());
+}
