--- a/test/integration/gateway_fixture.hpp
+++ b/test/integration/gateway_fixture.hpp
@@ -83,6 +83,9 @@
     std::vector<std::unique_ptr<standin::process>> instances{};
     std::map<int, std::unique_ptr<http_channel>> callers{};
     history seen{};
+    /*! @brief Program of the instances, and the name of the platform in their settings. */
+    std::string program{"mangopulley"};
+    std::string platform{"objects"};
     std::string prefix{"/put/"};
     std::vector<std::string> addresses{};
     time_point next_refresh{};
@@ -222,7 +225,7 @@
              << "\", operators: \"" << own << ":" << port(operator_port_number) << "\"}\n"
              << "peers: {port: " << port(peer_port_number) << ", seeds: [\"" << ip(0U) << ":1\", \"" << ip(1U)
              << ":1\"]}\n"
-             << "platform: {store: \"" << store->endpoint() << "\"}\n"
+             << "platform: {name: " << platform << ", store: \"" << store->endpoint() << "\"}\n"
              << "bounds: {stop_s: 2.5}\n";
         return text.str();
     }
@@ -234,7 +237,7 @@
     /*! @brief Starts an instance with the settings file that it has. */
     void launch(const std::size_t index) {
         instances[index] = std::make_unique<standin::process>(
-            std::filesystem::path{MANGOPULLEY_BINARY_DIR} / "mangopulley",
+            std::filesystem::path{MANGOPULLEY_BINARY_DIR} / program,
             std::vector<std::string>{"gateway", "--settings", settings_path(index).string()},
             folder / ("output" + std::to_string(index)));
     }
