Count the body of a request until nobody holds it any more

Change: what is reserved for a body that is held whole goes with its exchange, which lives as long as the body. The budget is now constructed before all that may hold an exchange. A body that is passed on in parts is counted as before.

Not counted still: the last bytes of a body that were read together with its end, and held bodies and heads of responses.

--- a/src/mangopulley/gateway/async_http_server.hpp
+++ b/src/mangopulley/gateway/async_http_server.hpp
@@ -31,7 +31,8 @@
      * @brief Starts to listen; tries again while the address is not available.
      * @param loop Loop, which must outlive the server.
      * @param address Address as `ip:port`.
-     * @param memory Memory for request bodies; must outlive the server. Requests are rejected while it has no room.
+     * @param memory Memory for request bodies; must outlive the server and all exchanges. Requests are rejected while
+     * it has no room.
      * @param limits Returns the limits in force; each request is held to those at its arrival.
      * @param on_request Called with each request that is complete or whose body is too long to be held.
      */
--- a/src/mangopulley/gateway/caller_connection.cpp
+++ b/src/mangopulley/gateway/caller_connection.cpp
@@ -262,7 +262,10 @@
     this->keep_alive = request.head.getKeepAlive();
     this->head_request = request.is_head();
     this->http_1_0 = request.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    this->owner.on_request(std::make_shared<port_exchange>(this->weak_from_this(), std::move(request), whole));
+    // A body that is passed on in parts is not held beyond the response.
+    memory_reservation none{this->owner.memory};
+    this->owner.on_request(std::make_shared<port_exchange>(this->weak_from_this(), std::move(request), whole,
+                                                           std::move(whole ? this->memory : none)));
 }
 
 void caller_connection::end_request() {
--- a/src/mangopulley/gateway/gateway_process.cpp
+++ b/src/mangopulley/gateway/gateway_process.cpp
@@ -95,6 +95,8 @@
     double requests_per_second{};
     std::uint64_t requests_before{};
 
+    // Before all that holds requests: their bodies are given back to it.
+    memory_budget body_memory{this->configuration.memory_mb * internal::bytes_per_mb / internal::body_memory_divisor};
     event_loop loop{this->time, [this](const std::exception& error) { this->log_callback_failure(error); }};
     decision_log log{"gateway", this->time, internal::max_request_log_lines_per_second};
     metrics exported_metrics{this->time};
@@ -119,7 +121,6 @@
     platform_follower follower{this->follower_dependencies(), this->follow_rule()};
     directory_service addresses{this->directory_dependencies(), directory_rule{}};
     peer_service peer_documents{this->follower, [this] { return this->known_instances(); }};
-    memory_budget body_memory{this->configuration.memory_mb * internal::bytes_per_mb / internal::body_memory_divisor};
     async_http_server callers{this->loop, this->configuration.caller_endpoint, this->body_memory,
                               [this] { return request_limits(*this->routes.current()); },
                               [this](const auto& exchange) { this->requests.handle(exchange); }};
--- a/src/mangopulley/gateway/port_exchange.cpp
+++ b/src/mangopulley/gateway/port_exchange.cpp
@@ -6,8 +6,10 @@
 
 namespace mangopulley::internal {
 
-port_exchange::port_exchange(std::weak_ptr<caller_connection> owner, http_request&& received, const bool body_complete)
-    : connection{std::move(owner)}, content{std::move(received)}, whole{body_complete} {}
+port_exchange::port_exchange(std::weak_ptr<caller_connection> owner, http_request&& received, const bool body_complete,
+                             memory_reservation&& body_memory)
+    : connection{std::move(owner)}, content{std::move(received)}, whole{body_complete}, memory{std::move(body_memory)} {
+}
 
 const http_request& port_exchange::request() const noexcept {
     return this->content;
--- a/src/mangopulley/gateway/port_exchange.hpp
+++ b/src/mangopulley/gateway/port_exchange.hpp
@@ -8,6 +8,7 @@
 
 #include "../http/body_part.hpp"
 #include "../http/http_message.hpp"
+#include "../http/memory_budget.hpp"
 #include "http_server_exchange.hpp"
 
 namespace mangopulley::internal {
@@ -17,7 +18,9 @@
 /*! @brief Request of a caller's connection; its calls do nothing once the connection is closed. */
 class port_exchange final : public http_server_exchange, public std::enable_shared_from_this<port_exchange> {
 public:
-    port_exchange(std::weak_ptr<caller_connection> owner, http_request&& received, bool body_complete);
+    /*! @brief Constructs the exchange; `body_memory` is held for as long as the body is, whoever has left. */
+    port_exchange(std::weak_ptr<caller_connection> owner, http_request&& received, bool body_complete,
+                  memory_reservation&& body_memory);
 
     [[nodiscard]] const http_request& request() const noexcept override;
     [[nodiscard]] bool body_held() const noexcept override;
@@ -34,6 +37,7 @@
     std::weak_ptr<caller_connection> connection;
     http_request content;
     bool whole;
+    memory_reservation memory;
 };
 
 } // namespace mangopulley::internal
--- a/src/mangopulley/http/memory_budget.hpp
+++ b/src/mangopulley/http/memory_budget.hpp
@@ -28,6 +28,9 @@
 public:
     /*! @brief Creates an empty reservation; the budget must outlive it. */
     explicit memory_reservation(memory_budget& owner) noexcept : budget{&owner} {}
+    /*! @brief Takes over what another one holds, which is empty afterwards. */
+    memory_reservation(memory_reservation&& other) noexcept
+        : budget{other.budget}, bytes{std::exchange(other.bytes, 0U)} {}
     memory_reservation(const memory_reservation&) = delete;
     memory_reservation& operator=(const memory_reservation&) = delete;
     ~memory_reservation() { this->release(); }
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -756,6 +756,23 @@
     LONGS_EQUAL(lost, target.lost);
 }
 
+// Guards against more bodies than the memory has room for: that of an attempt whose caller left is held until its end.
+TEST(forwarder, counts_the_body_of_an_attempt_whose_caller_left) {
+    constexpr std::size_t body_bytes = 150'000U;
+    configure(seconds{8});
+    auto& target = add_target([](connection&, const http_request&) {});
+    send_request("PUT", "/put/a", "X-Id: 1\r\nContent-Length: 150000\r\n", std::string(body_bytes, 'x'));
+    await([&target] { return target.received.size() == 1U; });
+    const auto reserved = memory.reserved();
+    // The last bytes that were read are not counted.
+    CHECK_TRUE(reserved > body_bytes * 3U / 4U);
+    callers.clear();
+    await([this] { return subject->open_requests() == 0U; });
+    LONGS_EQUAL(reserved, memory.reserved());
+    target.close_connections();
+    await([this] { return memory.reserved() == 0U; });
+}
+
 // Guards against a caller that waits for a hanging target while another one is free.
 TEST(forwarder, hedges_when_the_first_target_hangs) {
     configure(seconds{8});
