Share the gateway's processes and the judge of advice between test programs

What starts them, their settings and the search of their logs are in a header of their own. The store can also stay silent, answer late and lose responses; a target can reset its connections.

The judge of what targets say keeps all pauses that a target asked an instance for.

--- a/test/fake/loopback_target.hpp
+++ b/test/fake/loopback_target.hpp
@@ -43,6 +43,16 @@
         }
     }
 
+    /*! @brief Resets all connections and goes on listening. */
+    void reset_connections() {
+        for (const auto& item : this->connections) {
+            if (item->bytes) {
+                item->bytes->reset_on_close();
+            }
+            item->close();
+        }
+    }
+
     [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->number); }
 
     /*! @brief Writes an answer as a target that ran the request. */
--- a/test/integration/advice_judge.hpp
+++ b/test/integration/advice_judge.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <mangopulley/core/clock.hpp>
 
@@ -28,6 +29,10 @@
         std::size_t most_during_pause{};
     };
 
+    advice_judge() = default;
+    /*! @brief Prepares a judge that allows requests for some time after the instance knew that the target leaves. */
+    explicit advice_judge(const mangopulley::duration allowed) : leaving_bound{allowed} {}
+
     /*! @brief Notes that a caller sends a request to an instance. */
     void sent(const std::string& id, const std::string& instance, const mangopulley::time_point now) {
         this->requests[id] = {instance, now};
@@ -41,10 +46,12 @@
         if (leaving != this->leaving.end() && sent_at > leaving->second + leaving_bound) {
             ++this->total.after_leaving;
         }
-        const auto found = this->pauses.find({instance, target});
-        if (found != this->pauses.end() && now > found->second.begin + pause_slack && now < found->second.end) {
-            ++this->total.during_pauses;
-            this->total.most_during_pause = std::max(this->total.most_during_pause, ++found->second.arrivals);
+        // A target that rejects requests during a pause begins another; the former one goes on.
+        for (auto& wanted : this->pauses[{instance, target}]) {
+            if (now > wanted.begin + pause_slack && now < wanted.end) {
+                ++this->total.during_pauses;
+                this->total.most_during_pause = std::max(this->total.most_during_pause, ++wanted.arrivals);
+            }
         }
     }
 
@@ -57,7 +64,7 @@
     void asked_for_pause(const std::string& id, const std::string& target, const mangopulley::duration length,
                          const mangopulley::time_point now) {
         ++this->total.pauses;
-        this->pauses[{this->requests[id].first, target}] = {now, now + length, 0U};
+        this->pauses[{this->requests[id].first, target}].push_back({now, now + length, 0U});
     }
 
     /*! @brief Notes that a target started again; what it said before does not concern the new start. */
@@ -67,6 +74,13 @@
         std::erase_if(this->pauses, concerns);
     }
 
+    /*! @brief Notes that an instance starts again or was suspended, which excuses it from what it was told before. */
+    void excuse(const std::string& instance) {
+        const auto concerns = [&instance](const auto& entry) { return entry.first.first == instance; };
+        std::erase_if(this->leaving, concerns);
+        std::erase_if(this->pauses, concerns);
+    }
+
     [[nodiscard]] const counts& result() const noexcept { return this->total; }
 
 private:
@@ -78,12 +92,12 @@
         std::size_t arrivals{};
     };
 
-    static constexpr std::chrono::milliseconds leaving_bound{500};
     static constexpr std::chrono::milliseconds pause_slack{500};
 
+    mangopulley::duration leaving_bound{std::chrono::milliseconds{500}};
     std::map<std::string, std::pair<std::string, mangopulley::time_point>> requests{};
     std::map<pair_of_instance_and_target, mangopulley::time_point> leaving{};
-    std::map<pair_of_instance_and_target, pause> pauses{};
+    std::map<pair_of_instance_and_target, std::vector<pause>> pauses{};
     counts total{};
 };
 
--- a/test/integration/gateway_failures.cpp
+++ b/test/integration/gateway_failures.cpp
@@ -31,7 +31,7 @@
 
     void setup() override {
         gateway_fixture::setup();
-        program = "test/faulty_mangopulley";
+        program = std::filesystem::path{MANGOPULLEY_BINARY_DIR} / "test/faulty_mangopulley";
         platform = "faulty";
         ::setenv("MANGOPULLEY_FAULTS", plan().c_str(), 1); // NOLINT(concurrency-mt-unsafe)
     }
--- a/test/integration/gateway_fixture.hpp
+++ b/test/integration/gateway_fixture.hpp
@@ -19,11 +19,10 @@
 #include <mangopulley/core/clock.hpp>
 #include <mangopulley/http/http_channel.hpp>
 #include <nlohmann/json.hpp>
-#include <standin/common/process.hpp>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include "advice_judge.hpp"
+#include "gateway_instances.hpp"
 #include "object_store.hpp"
 
 // TestHarness.h would define `new` as a macro, which breaks headers of Boost that a test includes after this one.
@@ -40,15 +39,9 @@
 
 inline constexpr std::size_t instance_count = 3U;
 inline constexpr std::size_t target_count = 4U;
-inline constexpr int caller_port_number = 0;
-inline constexpr int readiness_port_number = 1;
-inline constexpr int directory_port_number = 2;
-inline constexpr int operator_port_number = 3;
-inline constexpr int peer_port_number = 4;
 inline constexpr milliseconds work_time{30};
 inline constexpr milliseconds long_work_time{1'100};
 inline constexpr milliseconds bound{2'000};
-inline constexpr std::size_t memory_mb = 96U;
 
 /*! @brief What callers were told, and what the targets ran. */
 struct history {
@@ -75,17 +68,13 @@
 using told_statuses = std::map<std::pair<std::size_t, std::string>, std::map<int, int>>;
 
 /*! @brief Instances of the gateway as real processes, with a store, targets and callers in the test's own process. */
-struct gateway_fixture : Utest {
+struct gateway_fixture : Utest, gateway_instances {
     system_clock_source time{};
     event_loop loop{time};
     std::unique_ptr<object_store> store{};
     std::vector<std::unique_ptr<loopback_target>> targets{};
-    std::vector<std::unique_ptr<standin::process>> instances{};
     std::map<int, std::unique_ptr<http_channel>> callers{};
     history seen{};
-    /*! @brief Program of the instances, and the name of the platform in their settings. */
-    std::string program{"mangopulley"};
-    std::string platform{"objects"};
     std::string prefix{"/put/"};
     std::vector<std::string> addresses{};
     time_point next_refresh{};
@@ -109,7 +98,6 @@
     duration longest_turn{};
     /*! @brief Faults found so far, one a line, so that one run shows all. */
     std::string faults{};
-    std::filesystem::path folder{std::filesystem::temp_directory_path() / ("gateway-" + std::to_string(::getpid()))};
 
     void setup() override {
         std::filesystem::create_directories(folder);
@@ -193,16 +181,6 @@
         });
     }
 
-    static std::string ip(const std::size_t index) { return "127.0.0." + std::to_string(11U + index); }
-
-    /*! @brief Returns one of the ports of every instance; they differ between test programs that run side by side. */
-    static std::string port(const int number) {
-        constexpr int first_port = 20'000;
-        constexpr int ports_per_program = 5;
-        constexpr int programs = 2'000;
-        return std::to_string(first_port + (::getpid() % programs) * ports_per_program + number);
-    }
-
     /*! @brief Returns an instance that callers use now. */
     std::size_t named_instance() const {
         for (std::size_t index = 0U; index < instance_count; ++index) {
@@ -216,30 +194,7 @@
 
     /*! @brief Returns the text of an instance's settings. */
     std::string settings(const std::size_t index) const {
-        const auto own = ip(index);
-        std::ostringstream text{};
-        text << "instance: {name: i" << index << ", ip: " << own << ", zone: z, region: r, memory_mb: " << memory_mb
-             << "}\n"
-             << "listen: {callers: \"" << own << ":" << port(caller_port_number) << "\", readiness: \"" << own << ":"
-             << port(readiness_port_number) << "\", directory: \"" << own << ":" << port(directory_port_number)
-             << "\", operators: \"" << own << ":" << port(operator_port_number) << "\"}\n"
-             << "peers: {port: " << port(peer_port_number) << ", seeds: [\"" << ip(0U) << ":1\", \"" << ip(1U)
-             << ":1\"]}\n"
-             << "platform: {name: " << platform << ", store: \"" << store->endpoint() << "\"}\n"
-             << "bounds: {stop_s: 2.5}\n";
-        return text.str();
-    }
-
-    std::filesystem::path settings_path(const std::size_t index) const {
-        return folder / ("instance" + std::to_string(index) + ".yaml");
-    }
-
-    /*! @brief Starts an instance with the settings file that it has. */
-    void launch(const std::size_t index) {
-        instances[index] = std::make_unique<standin::process>(
-            std::filesystem::path{MANGOPULLEY_BINARY_DIR} / program,
-            std::vector<std::string>{"gateway", "--settings", settings_path(index).string()},
-            folder / ("output" + std::to_string(index)));
+        return gateway_instances::settings(index, store->endpoint());
     }
 
     void start(const std::size_t index) {
@@ -425,18 +380,6 @@
                std::to_string(seen.refused) + " refused, " + std::to_string(seen.unknown) + " without a known outcome";
     }
 
-    /*! @brief Returns the lines that the instances logged about a request. */
-    std::string lines_about(const std::string& id) const {
-        std::string found{};
-        for (const auto& instance : instances) {
-            std::istringstream lines{instance->output()};
-            for (std::string line{}; std::getline(lines, line);) {
-                found += line.find("request_id=" + id + ' ') == std::string::npos ? "" : line + '\n';
-            }
-        }
-        return found;
-    }
-
     /*! @brief Returns what is known of the requests that were not answered. */
     [[nodiscard]] std::string describe_unanswered() const {
         const auto longest_ms = std::chrono::duration_cast<milliseconds>(longest_turn).count();
--- a/test/integration/object_store.hpp
+++ b/test/integration/object_store.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <mangopulley/gateway/async_http_server.hpp>
 #include <mangopulley/loop/event_loop.hpp>
@@ -14,10 +15,11 @@
 /*! @brief Platform's store on a loopback port: two kinds of objects, read only; it can return from an older copy. */
 class object_store {
 public:
-    explicit object_store(mangopulley::event_loop& loop)
-        : port{loop, "127.0.0.1:0", this->memory, [] { return mangopulley::http_limits{}; },
-               [this](const std::shared_ptr<mangopulley::http_server_exchange>& exchange) { this->answer(exchange); }} {
-    }
+    explicit object_store(mangopulley::event_loop& owner)
+        : loop{owner}, port{owner, "127.0.0.1:0", this->memory, [] { return mangopulley::http_limits{}; },
+                            [this](const std::shared_ptr<mangopulley::http_server_exchange>& exchange) {
+                                this->accept(exchange);
+                            }} {}
 
     [[nodiscard]] std::string endpoint() const { return "127.0.0.1:" + std::to_string(this->port.port()); }
     [[nodiscard]] std::uint64_t revision() const noexcept { return this->held.revision; }
@@ -83,6 +85,10 @@
     }
 
     bool away{};
+    /*! @brief Whether calls get no response, and whether one of two gets none. */
+    bool silent{};
+    bool loses_responses{};
+    mangopulley::duration response_delay{};
     int calls{};
 
 private:
@@ -92,8 +98,19 @@
         std::map<std::string, nlohmann::json> targets{};
     };
 
-    void answer(const std::shared_ptr<mangopulley::http_server_exchange>& exchange) {
+    /*! @brief Answers a call, late or never while the store is in such trouble. */
+    void accept(const std::shared_ptr<mangopulley::http_server_exchange>& exchange) {
         ++this->calls;
+        if (this->silent || (this->loses_responses && this->calls % 2 == 0)) {
+            this->unanswered.push_back(exchange);
+        } else if (this->response_delay > mangopulley::duration::zero()) {
+            this->loop.after(this->response_delay, [this, exchange] { this->answer(exchange); });
+        } else {
+            this->answer(exchange);
+        }
+    }
+
+    void answer(const std::shared_ptr<mangopulley::http_server_exchange>& exchange) {
         mangopulley::http_reply reply{};
         reply.headers.push_back({"Store-Era", std::to_string(this->era)});
         if (this->away) {
@@ -115,10 +132,13 @@
 
     static constexpr std::size_t body_memory_bytes = 1'000'000U;
 
+    mangopulley::event_loop& loop;
     contents held{};
     contents copy{};
     std::uint64_t era{1U};
     mangopulley::memory_budget memory{body_memory_bytes};
+    /*! @brief Calls whose connections stay open without a response. */
+    std::vector<std::shared_ptr<mangopulley::http_server_exchange>> unanswered{};
     mangopulley::async_http_server port;
 };
 
