Add a fault soak of the gateway

scripts/soak runs gateways as real processes under a schedule of overlapping faults that one seed draws: signals and restarts of instances, a store that refuses, stays silent, slows, loses responses or returns from an older copy, changes of the configuration, callers that press or are reset, and targets that reject, want pauses, write rejections and responses twice and late, answer 421, fail, cut responses, hang, read slowly, reset, restart at their address under a new id, drain and leave.

--- /dev/null
+++ b/test/soak/soak_run.cpp
@@ -0,0 +1,349 @@
+#include "soak_run.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <ostream>
+#include <sstream>
+
+namespace soak {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t callers_per_target = 3U;
+constexpr milliseconds stop_time{2'500};
+constexpr milliseconds recovery_time{15'000};
+constexpr int killed = 128 + SIGKILL;
+
+[[nodiscard]] std::string end_of(const std::string& output) {
+    constexpr std::size_t most = 2'000U;
+    return output.substr(output.size() - std::min(output.size(), most));
+}
+
+} // namespace
+
+soak_run::soak_run(const soak_options& options)
+    : random{static_cast<std::minstd_rand::result_type>(options.seed + 1U)}, instance_count{options.instances},
+      book{this->time, options.instances}, context{this->loop, this->book, this->random,
+                                                   &integration::gateway_instances::caller_endpoint,
+                                                   [this] { return this->random() % this->instance_count; }},
+      states(options.instances), keeps_logs{!options.logs.empty()} {
+    if (this->keeps_logs) {
+        this->gateways.folder = options.logs;
+    }
+    if (!options.program.empty()) {
+        this->gateways.program = options.program;
+    }
+    const auto count = this->instance_count;
+    std::filesystem::create_directories(this->gateways.folder);
+    this->gateways.instances.resize(count);
+    this->store.put_config(this->version, this->context.prefix);
+    for (std::size_t number = 0U; number < target_count; ++number) {
+        this->targets.push_back(
+            std::make_unique<soak_target>(this->loop, this->store, this->book, this->random, number));
+    }
+    for (std::size_t index = 0U; index < count; ++index) {
+        std::ofstream{this->gateways.settings_path(index)}
+            << integration::gateway_instances::settings(index, this->store.endpoint());
+        this->launch(index);
+    }
+    constexpr milliseconds usual_pause{300};
+    constexpr std::size_t fewest_callers = callers_per_target * target_count;
+    const auto caller_count = std::max(fewest_callers, count);
+    // The targets have room for so many orders, however many callers send them.
+    this->context.longest_pause = usual_pause * static_cast<milliseconds::rep>(caller_count) / fewest_callers;
+    for (std::size_t number = 0U; number < caller_count; ++number) {
+        this->callers.push_back(std::make_unique<soak_caller>(this->context));
+    }
+}
+
+soak_run::~soak_run() {
+    this->gateways.instances.clear();
+    if (!this->keeps_logs) {
+        std::filesystem::remove_all(this->gateways.folder);
+    }
+}
+
+void soak_run::launch(const std::size_t index) {
+    auto& state = this->states[index];
+    state = {++state.starts};
+    this->gateways.launch(index, "output" + std::to_string(index) + '-' + std::to_string(state.starts));
+}
+
+void soak_run::watch_instances() {
+    for (std::size_t index = 0U; index < this->instance_count; ++index) {
+        this->watch_instance(index);
+    }
+}
+
+void soak_run::watch_instance(const std::size_t index) {
+    auto& process = *this->gateways.instances[index];
+    auto& state = this->states[index];
+    if (!process.running()) {
+        const auto code = process.wait_exit(milliseconds::zero()).value_or(killed);
+        if (!state.ending || (code != 0 && code != killed)) {
+            this->book.report("ENDED", "",
+                              "instance " + std::to_string(index) + " ended with code " + std::to_string(code) + ":\n" +
+                                  end_of(process.output()));
+        }
+        this->book.restart(index);
+        this->launch(index);
+    } else if (state.ending && this->time.now() >= state.kill_at) {
+        ++this->killed_after_stop_time;
+        process.kill();
+    }
+}
+
+void soak_run::pass(const duration length) {
+    constexpr milliseconds longest_turn{5};
+    const auto end = this->time.now() + length;
+    while (this->time.now() < end) {
+        this->loop.turn(longest_turn);
+    }
+}
+
+bool soak_run::serve_all(const duration longest, std::ostream& out) {
+    constexpr milliseconds window{1'000};
+    constexpr int enough_tenths = 9;
+    for (auto& record : this->book.instances()) {
+        record.served = 0;
+        record.asked = 0;
+    }
+    this->context.reconnecting = true;
+    this->context.choose = [this] {
+        const auto& records = this->book.instances();
+        const auto waits = [](const instance_record& record) { return record.served == 0; };
+        const auto begin = records.begin() + static_cast<std::ptrdiff_t>(this->random() % this->instance_count);
+        const auto found = std::find_if(begin, records.end(), waits);
+        return static_cast<std::size_t>((found == records.end() ? begin : found) - records.begin());
+    };
+    const auto end = this->time.now() + longest;
+    while (this->time.now() < end) {
+        const auto before = this->book.counts();
+        this->pass(window);
+        const auto& now = this->book.counts();
+        const auto all = now.ended - before.ended;
+        const bool good = all > 0 && (now.served - before.served) * 10 >= all * enough_tenths;
+        const auto& records = this->book.instances();
+        const auto silent =
+            std::count_if(records.begin(), records.end(), [](const auto& record) { return record.served == 0; });
+        out << "# within a second " << now.served - before.served << " of " << all << " served, " << silent
+            << " instances have served nothing\n";
+        if (good && silent == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void soak_run::recover(std::ostream& out) {
+    const auto begin = this->time.now();
+    const auto before = this->book.counts();
+    const bool good = this->serve_all(recovery_time, out);
+    const auto passed = std::chrono::duration_cast<milliseconds>(this->time.now() - begin);
+    out << "recovered: " << (good ? "yes" : "NO") << " after " << passed.count() << " ms\n";
+    const auto& now = this->book.counts();
+    if (!good && (now.served - before.served) * 4 < now.ended - before.ended) {
+        this->book.report("RECOVER", "", "less than a quarter of the requests are served after the faults");
+    }
+    constexpr int enough_asked = 4;
+    for (std::size_t index = 0U; !good && index < this->instance_count; ++index) {
+        const auto& record = this->book.instances()[index];
+        if (record.served == 0 && record.asked >= enough_asked) {
+            this->book.report("RECOVER", "", "instance " + std::to_string(index) + " serves nothing after the faults");
+        }
+    }
+}
+
+bool soak_run::run(const schedule& faults, std::ostream& out) {
+    constexpr milliseconds watch_period{20};
+    constexpr milliseconds last_answers{2'500};
+    const auto watching = this->loop.every(watch_period, [this] { this->watch_instances(); });
+    if (!this->serve_all(recovery_time, out)) {
+        this->book.report("RECOVER", "", "not all instances serve after their start");
+    }
+    this->context.reconnecting = false;
+    this->context.choose = [this] { return this->random() % this->instance_count; };
+    const auto begin = this->time.now();
+    milliseconds last{};
+    for (const auto& fault : faults) {
+        last = std::max(last, fault.at + fault.length);
+        this->loop.after(fault.at, [this, &fault] { this->apply(fault); });
+    }
+    this->pass(begin + last - this->time.now());
+    this->recover(out);
+    this->context.closed = true;
+    this->pass(last_answers);
+    this->loop.cancel(watching);
+    this->callers.clear();
+    this->book.finish();
+    this->print(out);
+    return this->book.violations().empty();
+}
+
+void soak_run::print(std::ostream& out) {
+    constexpr std::size_t most_printed = 20U;
+    const auto& counts = this->book.counts();
+    out << counts.sent << " sent, " << counts.served << " served, " << counts.refused << " refused, " << counts.other
+        << " others, " << counts.unanswered << " unanswered; " << this->killed_after_stop_time
+        << " killed after the time to stop; " << this->book.violations().size() << " violations\n";
+    std::size_t printed = 0U;
+    for (const auto& item : this->book.violations()) {
+        if (++printed > most_printed) {
+            break;
+        }
+        out << "VIOLATION " << item.rule << ' ' << item.id << ": " << item.text << '\n' << this->lines_about(item.id);
+    }
+}
+
+std::string soak_run::lines_about(const std::string& id) const {
+    if (id.empty()) {
+        return {};
+    }
+    return this->gateways.lines_about(id);
+}
+
+void soak_run::apply(const scheduled_fault& fault) {
+    const auto act = action_of(fault.kind);
+    (this->*act)(fault, true);
+    if (fault.length > milliseconds::zero()) {
+        this->loop.after(fault.length, [this, &fault, act] { (this->*act)(fault, false); });
+    }
+}
+
+soak_run::action soak_run::action_of(const fault_kind kind) {
+    static const std::map<fault_kind, action> actions{
+        {fault_kind::stop_instance, &soak_run::stop_instance},
+        {fault_kind::kill_instance, &soak_run::kill_instance},
+        {fault_kind::freeze_instance, &soak_run::freeze_instance},
+        {fault_kind::reload_instance, &soak_run::reload_instance},
+        {fault_kind::reset_callers, &soak_run::reset_callers},
+        {fault_kind::store_refuses, &soak_run::disturb_store},
+        {fault_kind::store_silent, &soak_run::disturb_store},
+        {fault_kind::store_slow, &soak_run::disturb_store},
+        {fault_kind::store_loses_responses, &soak_run::disturb_store},
+        {fault_kind::store_from_copy, &soak_run::return_from_copy},
+        {fault_kind::change_config, &soak_run::change_config},
+        {fault_kind::callers_press, &soak_run::press},
+        {fault_kind::restart_target, &soak_run::restart_target},
+        {fault_kind::drain_target, &soak_run::leave_target},
+        {fault_kind::remove_target, &soak_run::leave_target},
+        {fault_kind::reset_target, &soak_run::reset_target},
+    };
+    const auto found = actions.find(kind);
+    return found == actions.end() ? &soak_run::disturb_target : found->second;
+}
+
+void soak_run::stop_instance(const scheduled_fault& fault, const bool /*begins*/) {
+    auto& state = this->states[fault.subject];
+    if (!state.ending) {
+        state.ending = true;
+        state.kill_at = this->time.now() + stop_time;
+        this->book.plan(fault.subject, true);
+    }
+    this->gateways.instances[fault.subject]->signal(SIGTERM);
+}
+
+void soak_run::kill_instance(const scheduled_fault& fault, const bool /*begins*/) {
+    this->states[fault.subject].ending = true;
+    this->book.disturb(fault.subject);
+    this->gateways.instances[fault.subject]->kill();
+}
+
+void soak_run::freeze_instance(const scheduled_fault& fault, const bool begins) {
+    auto& process = *this->gateways.instances[fault.subject];
+    auto& state = this->states[fault.subject];
+    this->book.disturb(fault.subject);
+    this->book.restart(fault.subject);
+    state.frozen += begins ? 1 : -1;
+    if (begins && process.running()) {
+        static_cast<void>(process.freeze());
+    } else if (state.frozen <= 0) {
+        state.frozen = 0;
+        process.wake();
+    }
+}
+
+void soak_run::reload_instance(const scheduled_fault& fault, const bool /*begins*/) {
+    if (!this->states[fault.subject].ending) {
+        this->book.plan(fault.subject, false);
+    }
+    this->gateways.instances[fault.subject]->signal(SIGHUP);
+}
+
+void soak_run::reset_callers(const scheduled_fault& fault, const bool /*begins*/) {
+    this->book.disturb(fault.subject);
+    for (const auto& caller : this->callers) {
+        caller->reset(fault.subject);
+    }
+}
+
+void soak_run::disturb_store(const scheduled_fault& fault, const bool begins) {
+    constexpr milliseconds slow_response{800};
+    this->store_faults[fault.kind] += begins ? 1 : -1;
+    this->store.away = this->store_faults[fault_kind::store_refuses] > 0;
+    this->store.silent = this->store_faults[fault_kind::store_silent] > 0;
+    this->store.loses_responses = this->store_faults[fault_kind::store_loses_responses] > 0;
+    this->store.response_delay = this->store_faults[fault_kind::store_slow] > 0 ? slow_response : milliseconds::zero();
+}
+
+void soak_run::return_from_copy(const scheduled_fault& /*fault*/, const bool begins) {
+    constexpr milliseconds rewrite_delay{1'000};
+    if (begins) {
+        this->store.save_copy();
+        return;
+    }
+    this->store.return_from_copy();
+    // The operator and the targets write again what was lost.
+    this->loop.after(rewrite_delay, [this] {
+        this->store.put_config(++this->version, this->context.prefix);
+        for (const auto& target : this->targets) {
+            target->register_again();
+            target->remove_former();
+        }
+    });
+}
+
+void soak_run::change_config(const scheduled_fault& /*fault*/, const bool /*begins*/) {
+    this->context.prefix = this->context.prefix == "/put/" ? "/place/" : "/put/";
+    this->store.put_config(++this->version, this->context.prefix);
+}
+
+void soak_run::press(const scheduled_fault& /*fault*/, const bool begins) {
+    this->context.pressing += begins ? 1 : -1;
+}
+
+void soak_run::restart_target(const scheduled_fault& fault, const bool /*begins*/) {
+    constexpr milliseconds entry_lifetime{3'000};
+    auto& target = *this->targets[fault.subject];
+    target.restart();
+    this->loop.after(entry_lifetime, [&target] { target.remove_former(); });
+}
+
+void soak_run::leave_target(const scheduled_fault& fault, const bool begins) {
+    if (begins) {
+        this->targets[fault.subject]->leave(fault.kind == fault_kind::drain_target);
+    } else {
+        this->restart_target(fault, true);
+        this->targets[fault.subject]->remove_former();
+    }
+}
+
+void soak_run::reset_target(const scheduled_fault& fault, const bool /*begins*/) {
+    this->targets[fault.subject]->reset();
+}
+
+void soak_run::disturb_target(const scheduled_fault& fault, const bool begins) {
+    auto& target = *this->targets[fault.subject];
+    if (begins) {
+        target.begin(fault.kind);
+    } else {
+        target.end(fault.kind);
+    }
+}
+
+} // namespace soak
