--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -47,8 +47,7 @@
 void soak_run::start_instances() {
     this->gateways.instances.resize(this->instance_count);
     for (std::size_t index = 0U; index < this->instance_count; ++index) {
-        std::ofstream{this->gateways.settings_path(index)}
-            << integration::gateway_instances::settings(index, this->store.endpoint());
+        std::ofstream{this->gateways.settings_path(index)} << this->gateways.settings(index, this->store.endpoint());
         this->launch(index);
     }
 }
