Take a response that contradicts itself for none

Callers got a 200 with an empty body, or another order's, for a request that a target ran (MIXED, found by the soak), and before "not executed" was limited to refusals a 503 (REFUSED). A target broke off in the head of its answer and wrote an earlier response once more behind it. Where the break was in a field's value, both heads together parsed as one, with the status and id of the first and the length, body or "not executed" of the second.

Cause: of fields that occur once in a response the first counted, and a claim that contradicts the status was ignored rather than taken as a sign. Ids or stamps that differ, and "not executed" beside a status of execution, now make a response none: the request may have run, and the connection is closed.

This corrects the earlier rule for "not executed" beside a success; the test asks for 502 and one send instead of the target's status.

--- a/src/mangopulley/gateway/abandoned_attempts.cpp
+++ b/src/mangopulley/gateway/abandoned_attempts.cpp
@@ -59,13 +59,13 @@
         const auto metadata = deps.wire_dialect.read_response(outcome.response);
         load = metadata.load;
         auto& attempt = entry.sent_attempt;
-        const bool misdirected = verdict_of(outcome.response, metadata) == response_verdict::misdirected;
-        if (!misdirected) {
+        const auto verdict = verdict_of(outcome.response, metadata);
+        if (verdict != response_verdict::misdirected) {
             deps.services.record_advice(entry.service, *attempt.target, metadata.advice);
         } else if (!attempt.reused_connection) {
             deps.services.record_displacement(entry.service, *attempt.target, metadata.target_id);
         }
-        if (outcome.reusable && !misdirected) {
+        if (outcome.reusable && verdict != response_verdict::misdirected && verdict != response_verdict::not_genuine) {
             deps.channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
     }
--- a/src/mangopulley/gateway/dialect.hpp
+++ b/src/mangopulley/gateway/dialect.hpp
@@ -25,6 +25,8 @@
 struct response_metadata {
     /*! @brief Id of the request that the response belongs to; empty when there is none. */
     std::string request_id{};
+    /*! @brief Whether the head has parts of several responses: ids or stamps that differ. */
+    bool mixed{};
     /*! @brief Whether the response carries the stamp that proves that a target generated it. */
     bool has_response_stamp{};
     /*! @brief Whether the target states that it did not execute the request. */
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -284,7 +284,8 @@
             this->services.record_displacement(transaction->service, *attempt.target, metadata.target_id);
         }
         // A kept connection may lead to a former process, while the present one accepts at the address.
-        if (outcome.reusable && (found != verdict::misdirected || !attempt.reused_connection)) {
+        const bool wrong_process = found == verdict::misdirected && attempt.reused_connection;
+        if (outcome.reusable && !wrong_process && found != verdict::not_genuine) {
             this->channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
         switch (found) {
@@ -295,13 +296,11 @@
             this->handle_refusal(transaction, attempt, send_outcome::shed, metadata.load);
             break;
         case verdict::not_genuine:
-            this->count_ignored_claim(metadata);
             transaction->cause = "not_genuine";
             this->handle_indeterminate(transaction, attempt, metadata.load);
             break;
         case verdict::failed:
         case verdict::succeeded:
-            this->count_ignored_claim(metadata);
             this->end_attempt(transaction->service, attempt,
                               found == verdict::failed ? send_outcome::failed : send_outcome::succeeded, metadata.load);
             this->handle_execution(transaction, attempt, std::move(outcome), found == verdict::failed);
@@ -309,13 +308,6 @@
         }
     }
 
-    /*! @brief Counts a claim that nothing was executed which is not believed. */
-    void count_ignored_claim(const response_metadata& metadata) const {
-        if (metadata.not_executed) {
-            this->deps.metric_sink.count("target_fields_ignored_total");
-        }
-    }
-
     /*! @brief Ends an attempt that the target did not execute. */
     void handle_refusal(const internal::transaction_pointer& transaction, internal::attempt& attempt,
                         const send_outcome outcome, const std::optional<load_reading>& load) {
--- a/src/mangopulley/gateway/response_verdict.cpp
+++ b/src/mangopulley/gateway/response_verdict.cpp
@@ -12,7 +12,7 @@
 constexpr int first_server_error_status = 500;
 
 /*! @brief Returns whether a target may answer a request that it did not execute with this status. Any other one, such
- * as a success or 504, comes from an execution, whatever else the response says. */
+ * as a success or 504, contradicts the claim. */
 [[nodiscard]] bool may_state_refusal(const int status) noexcept {
     return status == service_unavailable_status ||
            (status >= first_client_error_status && status < first_server_error_status);
@@ -26,11 +26,14 @@
 
 response_verdict verdict_of(const http_response& response, const response_metadata& metadata) {
     const int status = response.status();
+    if (metadata.mixed) {
+        return response_verdict::not_genuine;
+    }
     if (status == misdirected_request_status) {
         return response_verdict::misdirected;
     }
-    if (metadata.not_executed && may_state_refusal(status)) {
-        return response_verdict::refused;
+    if (metadata.not_executed) {
+        return may_state_refusal(status) ? response_verdict::refused : response_verdict::not_genuine;
     }
     if (!metadata.has_response_stamp || response.head.has(field_name::content_encoding)) {
         return response_verdict::not_genuine;
--- a/src/mangopulley/gateway/response_verdict.hpp
+++ b/src/mangopulley/gateway/response_verdict.hpp
@@ -13,7 +13,7 @@
     misdirected,
     /*! @brief The target did not execute the request. */
     refused,
-    /*! @brief No target made the response; the request may have been executed. */
+    /*! @brief No target made the response as it is, or it contradicts itself; the request may have been executed. */
     not_genuine,
     /*! @brief The target executed the request, or began to, and failed. */
     failed,
--- a/test/fake/plain_dialect.hpp
+++ b/test/fake/plain_dialect.hpp
@@ -3,6 +3,7 @@
 #include <string>
 
 #include <mangopulley/gateway/dialect.hpp>
+#include <mangopulley/http/field_values.hpp>
 
 namespace fake {
 
@@ -33,6 +34,8 @@
     read_response(const mangopulley::http_response& response) const override {
         mangopulley::response_metadata metadata{};
         metadata.request_id = response.head.get("X-Id", "");
+        metadata.mixed =
+            mangopulley::values_differ(response.head, "X-Id") || mangopulley::values_differ(response.head, "X-Stamp");
         metadata.has_response_stamp = response.head.has("X-Stamp");
         metadata.not_executed = response.head.has("X-Not-Run");
         metadata.target_id = response.head.get("X-Answering", "");
--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -492,6 +492,28 @@
     LONGS_EQUAL(200, request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x").status);
 }
 
+// Guards against a target that breaks off in the head of its answer and writes an earlier response once more: their
+// fields together look like one response, with the id of the one and the body, or the refusal, of the other.
+TEST(forwarder, takes_no_head_with_parts_of_two_responses) {
+    const std::string earlier_responses[]{
+        "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Id: 4\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: 4\r\nX-Stamp: t\r\nContent-Length: 7\r\n\r\nearlier"};
+    const std::string head{"HTTP/1.1 200 OK\r\nX-Id: 5\r\nX-Stamp: s\r\nX-Note: some text\r\n"};
+    std::string sent{};
+    configure();
+    auto& target = add_target([&sent](connection& from, const http_request&) { from.write(sent); });
+    for (const auto& earlier : earlier_responses) {
+        for (std::size_t length = 1U; length <= head.size(); ++length) {
+            sent = head.substr(0U, length) + earlier;
+            target.id = "t" + std::to_string(target.received.size());
+            list_targets();
+            const auto result =
+                request_and_wait("PUT", "/put/a", "X-Id: 5\r\nX-Time-Left: 60\r\nContent-Length: 1\r\n", "x");
+            CHECK_TRUE_TEXT(result.status == 502 || result.status == 504, sent.c_str());
+        }
+    }
+}
+
 // Guards against a response that a target broke off in its head, or before its end, and that callers get as a whole
 // one.
 TEST(forwarder, never_completes_a_response_that_breaks_off) {
@@ -563,7 +585,7 @@
         add_target(contradicts);
         add_target(contradicts);
         const auto result = request_and_wait("PUT", "/put/a", "X-Id: 5\r\nContent-Length: 1\r\n", "x");
-        LONGS_EQUAL(status, result.status);
+        LONGS_EQUAL(502, result.status);
         LONGS_EQUAL(1, targets[0]->received.size() + targets[1]->received.size());
     }
 }
--- a/test/mangopulley/gateway/response_verdict.cpp
+++ b/test/mangopulley/gateway/response_verdict.cpp
@@ -33,9 +33,9 @@
     };
     const std::vector<row> rows{
         {200, true, false, response_verdict::succeeded},   {404, true, false, response_verdict::succeeded},
-        {200, true, true, response_verdict::succeeded},    {200, false, true, response_verdict::not_genuine},
-        {302, false, true, response_verdict::not_genuine}, {500, true, true, response_verdict::failed},
-        {504, true, true, response_verdict::failed},       {504, false, true, response_verdict::not_genuine},
+        {200, true, true, response_verdict::not_genuine},  {200, false, true, response_verdict::not_genuine},
+        {302, false, true, response_verdict::not_genuine}, {500, true, true, response_verdict::not_genuine},
+        {504, true, true, response_verdict::not_genuine},  {504, false, true, response_verdict::not_genuine},
         {503, true, false, response_verdict::failed},      {503, false, false, response_verdict::not_genuine},
         {503, false, true, response_verdict::refused},     {429, false, true, response_verdict::refused},
         {400, false, true, response_verdict::refused},     {421, false, false, response_verdict::misdirected},
@@ -50,6 +50,17 @@
     }
 }
 
+// Guards against the fields of two responses in one head.
+TEST(response_verdict, takes_a_mixed_head_for_no_response_of_a_target) {
+    response_metadata metadata{};
+    metadata.has_response_stamp = true;
+    metadata.mixed = true;
+    CHECK_TRUE(verdict_of(response_with(200), metadata) == response_verdict::not_genuine);
+    metadata.not_executed = true;
+    CHECK_TRUE(verdict_of(response_with(503), metadata) == response_verdict::not_genuine);
+    CHECK_TRUE(verdict_of(response_with(421), metadata) == response_verdict::not_genuine);
+}
+
 // Guards against a body in a coding that the caller did not ask for.
 TEST(response_verdict, takes_an_encoded_body_for_no_response_of_a_target) {
     auto response = response_with(200);
