Measure the time limit from where the process counts it

forwarder_in_parts/cuts_a_response_without_end_at_the_time_limit failed in 6 of 180 runs since it asks that the caller isn't cut before the time limit (4 of 40 in two series, 0 and 2 of 140 in two others).

Cause: in the test. The limit of a request counts from the earliest time at which its bytes can have arrived, the end of the turn before the one that reads them. The loop had not turned since the test began, so that this was before the time that the test took for the beginning. The loop now turns once in between; the bound stays.

--- a/test/mangopulley/gateway/forwarder.cpp
+++ b/test/mangopulley/gateway/forwarder.cpp
@@ -1064,6 +1064,8 @@
     configure(time_limit);
     list_raw_target();
     const auto began = loop.now();
+    // A time limit counts from the end of the turn before the one that reads the request.
+    loop.turn(milliseconds{0});
     const auto result = send_request("GET", "/get/a", "X-Id: 1\r\n");
     auto& connection = first_connection();
     await([&] { return !connection.received.empty(); });
