Keep the loop running when it cannot allocate memory itself

Cause: the loop contained exceptions of callbacks, but not its own. Polling allocates, and a periodic timer was copied to be scheduled again; a failure there left run and ended the process. datagram_port::send is noexcept and caught the exceptions of POCO only.

Change: polling is contained like a callback; sockets stay ready and are reported by the next turn. A periodic timer keeps its nodes and allocates nothing. A timer that cannot be entered in both tables is entered in none. A datagram for whose address there is no memory is dropped like others that cannot be sent.

Evidence: event_loop, repeats_a_timer_that_cannot_be_copied ended the test program before (bad_alloc left the loop) and passes.

--- a/src/mangopulley/loop/datagram_port.cpp
+++ b/src/mangopulley/loop/datagram_port.cpp
@@ -1,6 +1,7 @@
 #include "datagram_port.hpp"
 
 #include <array>
+#include <exception>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -77,8 +78,8 @@
     }
     try {
         this->self->socket.sendTo(bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress{endpoint});
-    } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
-        // Not retried: the next heartbeat carries the same state.
+    } catch (const std::exception&) { // NOLINT(bugprone-empty-catch)
+        // Also without memory for the address. Not retried: the next heartbeat carries the same state.
     }
 }
 
--- a/src/mangopulley/loop/event_loop.cpp
+++ b/src/mangopulley/loop/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <map>
+#include <new>
 #include <unordered_map>
 #include <utility>
 
@@ -73,7 +74,14 @@
 
     void schedule(const time_point due, internal::loop_timer timer) {
         const auto id = timer.id;
-        this->timers_by_id[id] = this->timers.emplace(due, std::move(timer));
+        const auto position = this->timers.emplace(due, std::move(timer));
+        try {
+            this->timers_by_id.emplace(id, position);
+        } catch (const std::bad_alloc&) {
+            // Nobody could cancel it.
+            this->timers.erase(position);
+            throw;
+        }
     }
 
     void run_due_timers(const time_point now) {
@@ -82,13 +90,17 @@
             this->smoothed_lag += (lateness - this->smoothed_lag) / internal::lag_smoothing_turns;
         }
         while (!this->timers.empty() && this->timers.begin()->first <= now) {
-            const auto timer = std::move(this->timers.extract(this->timers.begin()).mapped());
-            this->timers_by_id.erase(timer.id);
+            // The nodes are kept, so that a periodic timer goes on even if no memory can be allocated.
+            auto due = this->timers.extract(this->timers.begin());
+            const auto& timer = due.mapped();
+            auto by_id = this->timers_by_id.extract(timer.id);
             this->running_timer = timer.id;
             this->running_cancelled = false;
             this->run_contained(timer.callback);
             if (timer.period > duration::zero() && !this->running_cancelled) {
-                this->schedule(now + timer.period, timer);
+                due.key() = now + timer.period;
+                by_id.mapped() = this->timers.insert(std::move(due));
+                this->timers_by_id.insert(std::move(by_id));
             }
             this->running_timer = 0U;
         }
@@ -183,7 +195,9 @@
 }
 
 void event_loop::turn(const duration longest_wait) {
-    this->self->poll(this->self->wait_time(this->now(), longest_wait));
+    // Polling allocates memory; sockets whose events are lost by that are reported again.
+    this->self->run_contained(
+        [this, longest_wait] { this->self->poll(this->self->wait_time(this->now(), longest_wait)); });
     this->self->run_due_timers(this->now());
 }
 
--- a/test/integration/gateway_failures.cpp
+++ b/test/integration/gateway_failures.cpp
@@ -147,6 +147,21 @@
             expect(answered * 10 >= 2 * rounds * 9, kind, "instance " + std::to_string(index) + " answered" + statuses);
         }
     }
+
+    /*! @brief Lets callbacks fail during work, and checks that all instances are as before afterwards. */
+    void fail_and_recover(const failing_callback& failing, const std::string& cause) {
+        const auto line = "event=callback_failed cause=" + cause;
+        const auto before = count_lines(line);
+        let_fail(failing);
+        work();
+        let_fail({});
+        faults_ended = time.now();
+        const auto failures = count_lines(line) - before;
+        expect(failures > 0U, failing.kind, "no failure is logged");
+        check_settled(failing.kind);
+        check_answering(failing.kind);
+        check_promises();
+    }
 };
 
 // Guards against a process that ends, breaks a promise or stays impaired because one of its callbacks failed.
@@ -168,17 +183,7 @@
                                             {"settings", 1},
                                             {"targets_read", 1},
                                             {"config_read", 1}}) {
-        const auto line = "event=callback_failed cause=\"injected: " + failing.kind;
-        const auto before = count_lines(line);
-        let_fail(failing);
-        work();
-        let_fail({});
-        faults_ended = time.now();
-        const auto failures = count_lines(line) - before;
-        expect(failures > 0U, failing.kind, "no failure is logged");
-        check_settled(failing.kind);
-        check_answering(failing.kind);
-        check_promises();
+        fail_and_recover(failing, "\"injected: " + failing.kind);
     }
     for (std::size_t index = 0U; index < instance_count; ++index) {
         expect(operator_page(index, "/metrics").find("callback_failures_total") != std::string::npos, "metrics",
@@ -186,3 +191,10 @@
     }
     CHECK_TRUE_TEXT(faults.empty(), faults.c_str());
 }
+
+// Guards against a process that ends because a single allocation failed.
+TEST(gateway_failures, serves_on_while_allocations_fail) {
+    begin();
+    fail_and_recover({"allocation", 1'009}, "std::bad_alloc");
+    CHECK_TRUE_TEXT(faults.empty(), faults.c_str());
+}
--- a/test/mangopulley/loop/event_loop.cpp
+++ b/test/mangopulley/loop/event_loop.cpp
@@ -1,3 +1,5 @@
+#include <exception>
+#include <new>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -51,6 +53,33 @@
     LONGS_EQUAL(3, count);
 }
 
+// Guards against a periodic timer that is lost, and a process that ends, because it could not be copied for want of
+// memory.
+TEST(event_loop, repeats_a_timer_that_cannot_be_copied) {
+    struct uncopyable_later {
+        const bool& copying_fails;
+        int& count;
+        uncopyable_later(const bool& fails, int& counter) : copying_fails{fails}, count{counter} {}
+        uncopyable_later(const uncopyable_later& other) : copying_fails{other.copying_fails}, count{other.count} {
+            if (this->copying_fails) {
+                throw std::bad_alloc{};
+            }
+        }
+        uncopyable_later& operator=(const uncopyable_later&) = delete;
+        void operator()() const { ++this->count; }
+    };
+    event_loop contained{time, [](const std::exception&) {}};
+    bool copying_fails = false;
+    int count = 0;
+    contained.every(milliseconds{10}, uncopyable_later{copying_fails, count});
+    copying_fails = true;
+    for (int turn = 0; turn < 3; ++turn) {
+        time.advance(milliseconds{10});
+        contained.turn(duration::zero());
+    }
+    LONGS_EQUAL(3, count);
+}
+
 // Guards against a process that ends, and loses all requests on it, because of one callback that failed.
 TEST(event_loop, goes_on_after_a_callback_that_throws) {
     std::vector<std::string> causes{};
