Tell the story of an order in the soak, and judge ends in the start

A violation printed only the instances' lines.

An end by SIGHUP or SIGTERM before the first line of the log, within a second of a start or a disturbance, is excused: a process can't handle a signal before its main function runs (traced in one of five such ends with 100 instances). Targets write nothing behind a cut body, where nobody could tell it from the rest.

--- a/test/soak/order_book.hpp
+++ b/test/soak/order_book.hpp
@@ -45,6 +45,8 @@
     /*! @brief Whether a target did something to the request or its connection that excuses a missing answer. */
     bool excused{};
     std::optional<time_point> answer_written_at{};
+    /*! @brief What targets did with the request, and when after it was sent; printed with a violation. */
+    std::string story{};
 };
 
 /*! @brief Broken promise. */
@@ -87,6 +89,10 @@
     [[nodiscard]] order* arrive(const mangopulley::http_request& request);
     /*! @brief Judges whether a request may reach a target after what this one said; `misdirected` when it gets 421. */
     void judge_advice(const order& item, const std::string& target, time_point arrived_at, bool misdirected);
+    /*! @brief Adds to the story of an order. */
+    void tell(order& item, const std::string& event) const;
+    /*! @brief Returns the story of an order, or nothing when there is none. */
+    [[nodiscard]] std::string story_of(const std::string& id) const;
     /*! @brief Notes that a target begins to work on an order. */
     void run(order& item, const std::string& target);
     /*! @brief Notes that a target rejects an order and asks its sender for a pause. */
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -59,6 +59,7 @@
         /*! @brief Whether the end of the process is wanted. */
         bool ending{};
         time_point kill_at{};
+        time_point launched_at{};
     };
 
     [[nodiscard]] static action action_of(fault_kind kind);
@@ -66,6 +67,9 @@
     void start_callers();
     void launch(std::size_t index);
     void watch_instances();
+    void judge_end(std::size_t index, int code);
+    /*! @brief Returns whether a start or a disturbance of an instance excuses its end. */
+    [[nodiscard]] bool disturbed_lately(std::size_t index);
     void watch_instance(std::size_t index);
     /*! @brief Returns an instance that has served nothing since `await_service` began, if there is one. */
     [[nodiscard]] std::size_t choose_unserved();
@@ -106,6 +110,7 @@
     std::map<fault_kind, int> store_faults{};
     std::uint64_t version{1U};
     int killed_after_stop_time{};
+    int ended_in_start{};
 };
 
 } // namespace soak
--- a/test/soak/soak_target.hpp
+++ b/test/soak/soak_target.hpp
@@ -38,12 +38,16 @@
 
 private:
     using connection = fake::loopback_target::connection;
+    enum class cut_part { none, head, body };
     struct connection_state {
+        std::size_t number{};
         /*! @brief Bytes to be written once more before the next answer. */
         std::string copy{};
         /*! @brief Whether callers may lose requests on it by a fault of the target. */
         bool faulty{};
         bool read_late{};
+        /*! @brief Part of a response that was cut, until the connection ends. */
+        cut_part cut{};
         /*! @brief Last order that it carried. */
         std::string order_id{};
     };
