Record in one place what a response says about its target

The forwarder and the abandoned attempts decided apart, and a little differently, what a response tells of its target and whether its connection may be kept.

service_queues::record_statements and leaves_connection_usable decide both for either. One behaviour changes: an abandoned attempt that meets another target on a new connection keeps it, as others do.

--- a/src/mangopulley/gateway/abandoned_attempts.cpp
+++ b/src/mangopulley/gateway/abandoned_attempts.cpp
@@ -60,12 +60,8 @@
         load = metadata.load;
         auto& attempt = entry.sent_attempt;
         const auto verdict = verdict_of(outcome.response, metadata);
-        if (verdict != response_verdict::misdirected) {
-            deps.services.record_advice(entry.service, *attempt.target, metadata.advice);
-        } else if (!attempt.reused_connection) {
-            deps.services.record_displacement(entry.service, *attempt.target, metadata.target_id);
-        }
-        if (outcome.reusable && verdict != response_verdict::misdirected && verdict != response_verdict::not_genuine) {
+        deps.services.record_statements(entry.service, *attempt.target, {metadata, verdict, attempt.reused_connection});
+        if (outcome.reusable && leaves_connection_usable(verdict, attempt.reused_connection)) {
             deps.channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
     }
--- a/src/mangopulley/gateway/forwarder.cpp
+++ b/src/mangopulley/gateway/forwarder.cpp
@@ -278,14 +278,9 @@
         using verdict = internal::response_verdict;
         const auto metadata = this->deps.wire_dialect.read_response(outcome.response);
         const auto found = internal::verdict_of(outcome.response, metadata);
-        if (found != verdict::misdirected) {
-            this->services.record_advice(transaction->service, *attempt.target, metadata.advice);
-        } else if (!attempt.reused_connection) {
-            this->services.record_displacement(transaction->service, *attempt.target, metadata.target_id);
-        }
-        // A kept connection may lead to a former process, while the present one accepts at the address.
-        const bool wrong_process = found == verdict::misdirected && attempt.reused_connection;
-        if (outcome.reusable && !wrong_process && found != verdict::not_genuine) {
+        this->services.record_statements(transaction->service, *attempt.target,
+                                         {metadata, found, attempt.reused_connection});
+        if (outcome.reusable && internal::leaves_connection_usable(found, attempt.reused_connection)) {
             this->channels.release(attempt.target->listing.endpoint, std::move(attempt.channel));
         }
         switch (found) {
--- a/src/mangopulley/gateway/response_verdict.cpp
+++ b/src/mangopulley/gateway/response_verdict.cpp
@@ -41,4 +41,8 @@
     return status >= first_server_error_status ? response_verdict::failed : response_verdict::succeeded;
 }
 
+bool leaves_connection_usable(const response_verdict verdict, const bool reused) noexcept {
+    return verdict != response_verdict::not_genuine && !(reused && verdict == response_verdict::misdirected);
+}
+
 } // namespace mangopulley::internal
--- a/src/mangopulley/gateway/response_verdict.hpp
+++ b/src/mangopulley/gateway/response_verdict.hpp
@@ -34,4 +34,15 @@
 /*! @brief Returns what a response that belongs to the request says about its execution. */
 [[nodiscard]] response_verdict verdict_of(const http_response& response, const response_metadata& metadata);
 
+/**
+ * @brief Returns whether a connection may carry another request after a response.
+ *
+ * A kept connection may lead to a former process, while another one accepts at the address by now. After a response
+ * that no target made as it is, nobody knows where the next one begins.
+ *
+ * @param verdict What the response says.
+ * @param reused Whether the connection carried an earlier exchange.
+ */
+[[nodiscard]] bool leaves_connection_usable(response_verdict verdict, bool reused) noexcept;
+
 } // namespace mangopulley::internal
--- a/src/mangopulley/gateway/service_queues.cpp
+++ b/src/mangopulley/gateway/service_queues.cpp
@@ -281,13 +281,13 @@
     }
 }
 
-void service_queues::record_advice(const std::string& service, pool_target& target, const target_advice& advice) {
-    this->self->record_advice(service, target, advice);
-}
-
-void service_queues::record_displacement(const std::string& service, pool_target& target,
-                                         const std::string_view other_id) {
-    this->self->record_displacement(service, target, other_id);
+void service_queues::record_statements(const std::string& service, pool_target& target,
+                                       const received_response& response) {
+    if (response.verdict != internal::response_verdict::misdirected) {
+        this->self->record_advice(service, target, response.metadata.advice);
+    } else if (!response.reused_connection) {
+        this->self->record_displacement(service, target, response.metadata.target_id);
+    }
 }
 
 bool service_queues::try_take_retry(const std::string& service, const std::span<const std::string> tried) {
--- a/src/mangopulley/gateway/service_queues.hpp
+++ b/src/mangopulley/gateway/service_queues.hpp
@@ -18,6 +18,7 @@
 #include "fleet_retry_budget.hpp"
 #include "listed_target.hpp"
 #include "request_scheduler.hpp"
+#include "response_verdict.hpp"
 #include "route_table.hpp"
 
 namespace mangopulley {
@@ -30,6 +31,14 @@
  */
 class service_queues {
 public:
+    /*! @brief Response of a target as far as it concerns the target. */
+    struct received_response {
+        const response_metadata& metadata;
+        internal::response_verdict verdict{};
+        /*! @brief Whether its connection carried earlier exchanges and so may lead to a former process. */
+        bool reused_connection{};
+    };
+
     /*! @brief Dependencies; all must outlive this object. */
     struct dependencies {
         event_loop& loop;
@@ -96,15 +105,9 @@
      */
     void end(const std::string& service, pool_target& target, send_outcome outcome,
              const std::optional<load_reading>& load, duration elapsed);
-    /*! @brief Records what a target said in a response about the requests that it wants. */
-    void record_advice(const std::string& service, pool_target& target, const target_advice& advice);
-    /**
-     * @brief Records that another target answered at a target's address.
-     * @param service Service of the target.
-     * @param target Target.
-     * @param other_id Id of the other one, for the log; does nothing if it is empty or the target's own.
-     */
-    void record_displacement(const std::string& service, pool_target& target, std::string_view other_id);
+    /*! @brief Records what the response to a request says about its target: which requests it wants, or that another
+     * one has its address. */
+    void record_statements(const std::string& service, pool_target& target, const received_response& response);
     /*! @brief Reserves one retry; fails when no untried target is left or the budget is exhausted. */
     [[nodiscard]] bool try_take_retry(const std::string& service, std::span<const std::string> tried);
     /*! @brief Returns the factor by which processing at a target is expected to take longer than usual. */
