Use the field's names in the soak

"Order book" is a term of trading, and "press" and "story" are words of our own. The soak has an order_tracker with a trace for each order and the fault caller_burst.

--- a/test/integration/soak_judges.cpp
+++ b/test/integration/soak_judges.cpp
@@ -5,7 +5,7 @@
 
 #include <fake/fake_clock.hpp>
 #include <mangopulley/http/http_message.hpp>
-#include <soak/order_book.hpp>
+#include <soak/order_tracker.hpp>
 #include <soak/response_reader.hpp>
 #include <soak/schedule.hpp>
 
@@ -19,10 +19,10 @@
 constexpr int success = 200;
 constexpr int unavailable = 503;
 
-/*! @brief An order book with one instance, and what callers and targets tell it. */
+/*! @brief An order tracker with one instance, and what callers and targets tell it. */
 struct judged_run : Utest {
     fake::fake_clock time{};
-    order_book book{time, 1U};
+    order_tracker tracker{time, 1U};
 
     order& send(const std::string& id) {
         order sent{};
@@ -30,7 +30,7 @@
         sent.path = "/put/x";
         sent.body = make_body("asks " + id, 100U);
         sent.expected_answer = make_body("ran " + id, 100U);
-        return book.send(std::move(sent));
+        return tracker.send(std::move(sent));
     }
 
     static mangopulley::http_request request_for(const order& sent) {
@@ -44,9 +44,9 @@
 
     order& run_at_target(const std::string& id) {
         auto& sent = send(id);
-        CHECK_TRUE(book.arrive(request_for(sent)) == &sent);
-        book.judge_advice(sent, "t", time.now(), false);
-        book.run(sent, "t");
+        CHECK_TRUE(tracker.arrive(request_for(sent)) == &sent);
+        tracker.judge_advice(sent, "t", time.now(), false);
+        tracker.run(sent, "t");
         sent.given.insert(success);
         return sent;
     }
@@ -64,7 +64,7 @@
     /*! @brief Returns the rules that were broken so far, each with the id. */
     std::string broken() const {
         std::string text{};
-        for (const auto& item : book.violations()) {
+        for (const auto& item : tracker.violations()) {
             text += item.rule + ' ' + item.id + ';';
         }
         return text;
@@ -86,35 +86,35 @@
 // Guards against a soak that reports what is allowed.
 TEST(soak_judges, accept_whole_answers_and_true_refusals) {
     auto& answered = run_at_target("a");
-    book.answer(answered, response(success, "t", answered.expected_answer));
-    book.answer(send("b"), response(unavailable, "", ""));
-    book.end(send("c"));
-    book.finish();
+    tracker.answer(answered, response(success, "t", answered.expected_answer));
+    tracker.answer(send("b"), response(unavailable, "", ""));
+    tracker.end(send("c"));
+    tracker.finish();
     STRCMP_EQUAL("", broken().c_str());
 }
 
 // Guards against a soak that misses an order which ran before or after its refusal, or twice.
 TEST(soak_judges, report_refused_orders_that_run_and_orders_that_run_twice) {
-    book.answer(run_at_target("a"), response(unavailable, "", ""));
+    tracker.answer(run_at_target("a"), response(unavailable, "", ""));
     auto& refused = send("b");
-    book.answer(refused, response(unavailable, "", ""));
-    book.run(refused, "t");
-    book.run(run_at_target("c"), "u");
+    tracker.answer(refused, response(unavailable, "", ""));
+    tracker.run(refused, "t");
+    tracker.run(run_at_target("c"), "u");
     STRCMP_EQUAL("REFUSED a;REFUSED b;TWICE c;", broken().c_str());
 }
 
 // Guards against a soak that takes a part of an answer, another's answer or an invented one for the caller's own.
 TEST(soak_judges, report_answers_that_are_not_whole_or_not_own) {
     auto& cut = run_at_target("a");
-    book.answer(cut, response(success, "t", cut.expected_answer.substr(1U)));
+    tracker.answer(cut, response(success, "t", cut.expected_answer.substr(1U)));
     auto& crossed = run_at_target("b");
     auto other = response(success, "t", crossed.expected_answer);
     other.fields["mangopulley-request-id"] = "a";
-    book.answer(crossed, other);
+    tracker.answer(crossed, other);
     auto& invented = send("c");
-    book.answer(invented, response(success, "t", invented.expected_answer));
+    tracker.answer(invented, response(success, "t", invented.expected_answer));
     constexpr int failure = 500;
-    book.answer(run_at_target("d"), response(failure, "t", ""));
+    tracker.answer(run_at_target("d"), response(failure, "t", ""));
     STRCMP_EQUAL("MIXED a;MIXED b;MIXED c;MIXED d;", broken().c_str());
 }
 
@@ -122,10 +122,10 @@
 TEST(soak_judges, report_requests_that_no_caller_sent) {
     order unknown{};
     unknown.id = "x";
-    CHECK_TRUE(book.arrive(request_for(unknown)) == nullptr);
+    CHECK_TRUE(tracker.arrive(request_for(unknown)) == nullptr);
     auto changed = request_for(send("a"));
     changed.body += '!';
-    CHECK_TRUE(book.arrive(changed) != nullptr);
+    CHECK_TRUE(tracker.arrive(changed) != nullptr);
     STRCMP_EQUAL("UNASKED x;UNASKED a;", broken().c_str());
 }
 
@@ -133,18 +133,18 @@
 TEST(soak_judges, report_orders_lost_in_a_planned_stop) {
     time.advance(seconds{100});
     const auto& lost = run_at_target("a");
-    book.plan(0U, true);
+    tracker.plan(0U, true);
     time.advance(seconds{1});
-    book.end(lost);
+    tracker.end(lost);
     constexpr int bad_gateway = 502;
-    book.answer(run_at_target("replaced"), response(bad_gateway, "", ""));
+    tracker.answer(run_at_target("replaced"), response(bad_gateway, "", ""));
     STRCMP_EQUAL("LOST a;LOST replaced;", broken().c_str());
     auto& rejected = send("rejected");
-    CHECK_TRUE(book.arrive(request_for(rejected)) == &rejected);
-    book.answer(rejected, response(bad_gateway, "", ""));
+    CHECK_TRUE(tracker.arrive(request_for(rejected)) == &rejected);
+    tracker.answer(rejected, response(bad_gateway, "", ""));
     const auto& excused = run_at_target("b");
-    book.disturb(0U);
-    book.end(excused);
+    tracker.disturb(0U);
+    tracker.end(excused);
     STRCMP_EQUAL("LOST a;LOST replaced;", broken().c_str());
 }
 
@@ -152,19 +152,19 @@
 TEST(soak_judges, report_requests_against_the_advice_of_targets) {
     auto& told = run_at_target("a");
     told.leaving_target = "t";
-    book.answer(told, response(success, "t", told.expected_answer));
+    tracker.answer(told, response(success, "t", told.expected_answer));
     time.advance(seconds{3});
     static_cast<void>(run_at_target("b"));
     STRCMP_EQUAL("DRAIN b;", broken().c_str());
-    book.judge_advice(send("misdirected"), "t", time.now(), true);
-    book.restart(0U);
+    tracker.judge_advice(send("misdirected"), "t", time.now(), true);
+    tracker.restart(0U);
     static_cast<void>(run_at_target("c"));
     STRCMP_EQUAL("DRAIN b;", broken().c_str());
-    book.pause(send("d"), "t", seconds{3});
+    tracker.pause(send("d"), "t", seconds{3});
     time.advance(seconds{1});
     static_cast<void>(run_at_target("e"));
     static_cast<void>(run_at_target("f"));
-    book.judge_advice(send("g"), "t", time.now(), true);
+    tracker.judge_advice(send("g"), "t", time.now(), true);
     STRCMP_EQUAL("DRAIN b;BUDGET g;", broken().c_str());
 }
 
--- a/test/soak/order_book.cpp
+++ b/test/soak/order_tracker.cpp
@@ -1,4 +1,4 @@
-#include "order_book.hpp"
+#include "order_tracker.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -44,10 +44,10 @@
     return text;
 }
 
-order_book::order_book(const mangopulley::clock& source, const std::size_t instances)
+order_tracker::order_tracker(const mangopulley::clock& source, const std::size_t instances)
     : time{source}, records(instances), advice{leaving_bound} {}
 
-order& order_book::send(order&& sent) {
+order& order_tracker::send(order&& sent) {
     const auto id = sent.id;
     sent.sent_at = this->time.now();
     this->advice.sent(id, std::to_string(sent.instance), sent.sent_at);
@@ -56,7 +56,7 @@
     return this->orders.insert_or_assign(id, std::move(sent)).first->second;
 }
 
-order* order_book::arrive(const mangopulley::http_request& request) {
+order* order_tracker::arrive(const mangopulley::http_request& request) {
     const auto id = request.head.get("Mangopulley-Request-Id", "");
     const auto position = this->orders.find(id);
     if (position == this->orders.end()) {
@@ -72,8 +72,8 @@
     return &item;
 }
 
-void order_book::judge_advice(const order& item, const std::string& target, const time_point arrived_at,
-                              const bool misdirected) {
+void order_tracker::judge_advice(const order& item, const std::string& target, const time_point arrived_at,
+                                 const bool misdirected) {
     const auto before = this->advice.result();
     this->advice.arrived(item.id, target, arrived_at);
     const auto& after = this->advice.result();
@@ -88,18 +88,18 @@
     }
 }
 
-void order_book::tell(order& item, const std::string& event) const {
+void order_tracker::record_event(order& item, const std::string& event) const {
     const auto passed = std::chrono::duration_cast<milliseconds>(this->time.now() - item.sent_at);
-    item.story.append("  after ").append(std::to_string(passed.count())).append(" ms: ").append(event).append("\n");
+    item.trace.append("  after ").append(std::to_string(passed.count())).append(" ms: ").append(event).append("\n");
 }
 
-std::string order_book::story_of(const std::string& id) const {
+std::string order_tracker::trace_of(const std::string& id) const {
     const auto position = this->orders.find(id);
-    return position == this->orders.end() ? std::string{} : position->second.story;
+    return position == this->orders.end() ? std::string{} : position->second.trace;
 }
 
-void order_book::run(order& item, const std::string& target) {
-    this->tell(item, "runs at " + target);
+void order_tracker::run(order& item, const std::string& target) {
+    this->record_event(item, "runs at " + target);
     ++item.runs;
     if (!item.idempotent && item.runs > 1) {
         this->report("TWICE", item.id, "ran again at " + target);
@@ -109,20 +109,20 @@
     }
 }
 
-void order_book::pause(const order& item, const std::string& target, const duration length) {
+void order_tracker::pause(const order& item, const std::string& target, const duration length) {
     this->advice.asked_for_pause(item.id, target, length, this->time.now());
 }
 
-void order_book::excuse(const std::string& id) {
+void order_tracker::excuse(const std::string& id) {
     const auto position = this->orders.find(id);
     if (position != this->orders.end()) {
         position->second.excused = true;
     }
 }
 
-void order_book::answer(order& item, const seen_response& response) {
-    this->tell(item, "caller gets status " + std::to_string(response.status) + " from instance " +
-                         std::to_string(item.instance));
+void order_tracker::answer(order& item, const seen_response& response) {
+    this->record_event(item, "caller gets status " + std::to_string(response.status) + " from instance " +
+                                 std::to_string(item.instance));
     ++this->total.ended;
     const auto named = response.field("mangopulley-request-id");
     if (!named.empty() && named != item.id) {
@@ -136,7 +136,7 @@
     }
 }
 
-void order_book::judge_success(order& item, const seen_response& response) {
+void order_tracker::judge_success(order& item, const seen_response& response) {
     ++this->total.served;
     ++this->records[item.instance].served;
     if (response.field("mangopulley-response-stamp").empty() || !item.given.contains(response.status)) {
@@ -153,7 +153,7 @@
     }
 }
 
-void order_book::judge_failure(order& item, const seen_response& response) {
+void order_tracker::judge_failure(order& item, const seen_response& response) {
     constexpr int first_server_failure = 500;
     const auto status = std::to_string(response.status);
     const bool stamped = !response.field("mangopulley-response-stamp").empty();
@@ -178,24 +178,24 @@
     }
 }
 
-void order_book::end(const order& item) {
+void order_tracker::end(const order& item) {
     ++this->total.ended;
     ++this->total.other;
     this->judge_loss(item, "connection ended without its answer");
 }
 
-void order_book::abandon(const order& item) {
+void order_tracker::abandon(const order& item) {
     ++this->total.ended;
     ++this->total.other;
     this->total.unanswered += this->disturbed(item) ? 0 : 1;
 }
 
-bool order_book::disturbed(const order& item) const {
+bool order_tracker::disturbed(const order& item) const {
     const auto& disturbed_at = this->records[item.instance].disturbed_at;
     return disturbed_at && *disturbed_at + contact_time > item.sent_at;
 }
 
-void order_book::judge_loss(const order& item, const std::string& ending) {
+void order_tracker::judge_loss(const order& item, const std::string& ending) {
     const auto now = this->time.now();
     const auto& instance = this->records[item.instance];
     if (!item.passed_on || item.excused || this->disturbed(item) || now >= item.sent_at + route_timeout) {
@@ -210,24 +210,24 @@
     }
 }
 
-void order_book::disturb(const std::size_t instance) {
+void order_tracker::disturb(const std::size_t instance) {
     this->records[instance].disturbed_at = this->time.now();
 }
 
-void order_book::restart(const std::size_t instance) {
+void order_tracker::restart(const std::size_t instance) {
     this->advice.excuse(std::to_string(instance));
 }
 
-void order_book::plan(const std::size_t instance, const bool stopping) {
+void order_tracker::plan(const std::size_t instance, const bool stopping) {
     this->records[instance].planned_at = this->time.now();
     this->records[instance].stopping = stopping;
 }
 
-void order_book::report(const std::string& rule, const std::string& id, const std::string& text) {
+void order_tracker::report(const std::string& rule, const std::string& id, const std::string& text) {
     this->found.push_back({rule, id, text});
 }
 
-void order_book::finish() {
+void order_tracker::finish() {
     if (this->cut.size() > most_cut_outside_plans) {
         for (const auto& item : this->cut) {
             this->report("LOST", item.substr(0U, item.find(' ')), item + ", outside stops and reloads");
--- a/test/soak/order_book.hpp
+++ b/test/soak/order_tracker.hpp
@@ -46,7 +46,7 @@
     bool excused{};
     std::optional<time_point> answer_written_at{};
     /*! @brief What targets did with the request, and when after it was sent; printed with a violation. */
-    std::string story{};
+    std::string trace{};
 };
 
 /*! @brief Broken promise. */
@@ -79,9 +79,9 @@
 };
 
 /*! @brief Keeps all orders of a run and judges what callers and targets see. */
-class order_book {
+class order_tracker {
 public:
-    order_book(const mangopulley::clock& source, std::size_t instances);
+    order_tracker(const mangopulley::clock& source, std::size_t instances);
 
     /*! @brief Notes that a caller sends an order; the reference stays valid. */
     order& send(order&& sent);
@@ -89,10 +89,10 @@
     [[nodiscard]] order* arrive(const mangopulley::http_request& request);
     /*! @brief Judges whether a request may reach a target after what this one said; `misdirected` when it gets 421. */
     void judge_advice(const order& item, const std::string& target, time_point arrived_at, bool misdirected);
-    /*! @brief Adds to the story of an order. */
-    void tell(order& item, const std::string& event) const;
-    /*! @brief Returns the story of an order, or nothing when there is none. */
-    [[nodiscard]] std::string story_of(const std::string& id) const;
+    /*! @brief Adds to the trace of an order. */
+    void record_event(order& item, const std::string& event) const;
+    /*! @brief Returns the trace of an order, or nothing when there is none. */
+    [[nodiscard]] std::string trace_of(const std::string& id) const;
     /*! @brief Notes that a target begins to work on an order. */
     void run(order& item, const std::string& target);
     /*! @brief Notes that a target rejects an order and asks its sender for a pause. */
--- a/test/soak/schedule.cpp
+++ b/test/soak/schedule.cpp
@@ -92,7 +92,7 @@
         {kind::store_loses_responses, "store_loses_responses", none, brief, usual},
         {kind::store_from_copy, "store_from_copy", none, brief, usual},
         {kind::change_config, "change_config", none, instant, instant},
-        {kind::callers_press, "callers_press", none, brief, usual},
+        {kind::caller_burst, "caller_burst", none, brief, usual},
         {kind::restart_target, "restart_target", target, instant, instant},
         {kind::drain_target, "drain_target", target, shortest_leave, longest_leave},
         {kind::remove_target, "remove_target", target, shortest_leave, longest_leave},
--- a/test/soak/schedule.hpp
+++ b/test/soak/schedule.hpp
@@ -25,7 +25,7 @@
     store_loses_responses,
     store_from_copy,
     change_config,
-    callers_press,
+    caller_burst,
     restart_target,
     drain_target,
     remove_target,
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -104,7 +104,7 @@
 
 void soak_caller::send_order() {
     this->reader = {};
-    this->current = &this->context.book.send(this->make_order());
+    this->current = &this->context.tracker.send(this->make_order());
     const auto& item = *this->current;
     const bool chunked = this->context.random() % 2U == 0U;
     std::string text{item.idempotent ? "GET " : "PUT "};
@@ -117,20 +117,20 @@
 
 void soak_caller::received(const std::string_view part) {
     if (this->current == nullptr) {
-        this->context.book.report("MIXED", "",
-                                  "bytes without a request from instance " + std::to_string(this->instance) + ": " +
-                                      std::string{part.substr(0U, 200U)});
+        this->context.tracker.report("MIXED", "",
+                                     "bytes without a request from instance " + std::to_string(this->instance) + ": " +
+                                         std::string{part.substr(0U, 200U)});
         this->drop();
         return;
     }
     const auto state = this->reader.feed(part);
     if (state == response_reader::state::malformed) {
-        this->context.book.report("MIXED", this->current->id, "bytes that are no response");
+        this->context.tracker.report("MIXED", this->current->id, "bytes that are no response");
         this->drop();
     } else if (state == response_reader::state::complete) {
         const auto response = this->reader.response();
         if (!this->reader.begin_next()) {
-            this->context.book.report("MIXED", this->current->id, "bytes after the response");
+            this->context.tracker.report("MIXED", this->current->id, "bytes after the response");
         }
         this->finish(response);
     }
@@ -141,13 +141,13 @@
     if (item != nullptr && !broken && this->reader.ends_with_connection()) {
         const auto response = this->reader.response();
         this->drop();
-        this->context.book.answer(*item, response);
+        this->context.tracker.answer(*item, response);
         return;
     }
     const bool was_connected = this->connected;
     this->drop();
     if (item != nullptr && was_connected) {
-        this->context.book.end(*item);
+        this->context.tracker.end(*item);
     }
 }
 
@@ -161,11 +161,11 @@
     } else {
         this->pause_before_next();
     }
-    this->context.book.answer(item, response);
+    this->context.tracker.answer(item, response);
 }
 
 void soak_caller::abandon() {
-    this->context.book.abandon(*this->current);
+    this->context.tracker.abandon(*this->current);
     this->leave();
 }
 
@@ -182,8 +182,8 @@
 }
 
 void soak_caller::pause_before_next() {
-    constexpr milliseconds longest_pause_pressing{10};
-    const auto longest = this->context.pressing > 0 ? longest_pause_pressing : this->context.longest_pause;
+    constexpr milliseconds longest_pause_in_burst{10};
+    const auto longest = this->context.bursts > 0 ? longest_pause_in_burst : this->context.longest_pause;
     this->context.loop.cancel(this->next);
     const milliseconds pause{this->context.random() % static_cast<unsigned int>(longest.count())};
     this->next = this->context.loop.after(pause, [this] { this->send_next(); });
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -11,7 +11,7 @@
 #include <mangopulley/loop/event_loop.hpp>
 #include <mangopulley/loop/stream.hpp>
 
-#include "order_book.hpp"
+#include "order_tracker.hpp"
 #include "response_reader.hpp"
 
 namespace soak {
@@ -19,7 +19,7 @@
 /*! @brief What all callers of a run share. */
 struct caller_context {
     mangopulley::event_loop& loop;
-    order_book& book;
+    order_tracker& tracker;
     std::minstd_rand& random;
     /*! @brief Returns where callers reach an instance. */
     std::function<std::string(std::size_t index)> endpoint{};
@@ -31,7 +31,7 @@
     /*! @brief Longest pause between an answer and the next order. */
     std::chrono::milliseconds longest_pause{};
     /*! @brief Whether callers send their next order almost at once. */
-    int pressing{};
+    int bursts{};
     /*! @brief Callers open a new connection now and then, so that all instances are asked. */
     bool reconnecting{};
     /*! @brief No order is sent any more. */
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -26,8 +26,8 @@
 
 soak_run::soak_run(const soak_options& options)
     : random{static_cast<std::minstd_rand::result_type>(options.seed + 1U)}, instance_count{options.instances},
-      book{this->time, options.instances}, context{this->loop, this->book, this->random,
-                                                   &integration::gateway_instances::caller_endpoint},
+      tracker{this->time, options.instances}, context{this->loop, this->tracker, this->random,
+                                                      &integration::gateway_instances::caller_endpoint},
       states(options.instances), keeps_logs{!options.logs.empty()} {
     if (this->keeps_logs) {
         this->gateways.folder = options.logs;
@@ -39,7 +39,7 @@
     this->store.put_config(this->version, this->context.prefix);
     for (std::size_t number = 0U; number < target_count; ++number) {
         this->targets.push_back(
-            std::make_unique<soak_target>(this->loop, this->store, this->book, this->random, number));
+            std::make_unique<soak_target>(this->loop, this->store, this->tracker, this->random, number));
     }
     this->start_instances();
     this->start_callers();
@@ -92,15 +92,15 @@
     if (signalled && output.empty() && this->disturbed_lately(index)) {
         ++this->ended_in_start;
     } else if (!state.ending || (code != 0 && code != killed)) {
-        this->book.report("ENDED", "",
-                          "instance " + std::to_string(index) + " ended with code " + std::to_string(code) + ":\n" +
-                              end_of(output));
+        this->tracker.report("ENDED", "",
+                             "instance " + std::to_string(index) + " ended with code " + std::to_string(code) + ":\n" +
+                                 end_of(output));
     }
 }
 
 bool soak_run::disturbed_lately(const std::size_t index) {
     constexpr milliseconds excused_time{1'000};
-    const auto disturbed_at = this->book.instances()[index].disturbed_at.value_or(time_point{});
+    const auto disturbed_at = this->tracker.instances()[index].disturbed_at.value_or(time_point{});
     return this->time.now() < std::max(this->states[index].launched_at, disturbed_at) + excused_time;
 }
 
@@ -110,7 +110,7 @@
     if (!process.running()) {
         const auto code = process.wait_exit(milliseconds::zero()).value_or(killed);
         this->judge_end(index, code);
-        this->book.restart(index);
+        this->tracker.restart(index);
         this->launch(index);
     } else if (state.ending && this->time.now() >= state.kill_at) {
         ++this->killed_after_stop_time;
@@ -130,7 +130,7 @@
     const auto first = this->random() % this->instance_count;
     for (std::size_t step = 0U; step < this->instance_count; ++step) {
         const auto index = (first + step) % this->instance_count;
-        if (this->book.instances()[index].served == 0) {
+        if (this->tracker.instances()[index].served == 0) {
             return index;
         }
     }
@@ -141,12 +141,12 @@
     constexpr milliseconds window{1'000};
     constexpr int whole = 10;
     constexpr int enough = 9;
-    const auto before = this->book.counts();
+    const auto before = this->tracker.counts();
     this->pass(window);
-    const auto& now = this->book.counts();
+    const auto& now = this->tracker.counts();
     const auto served = now.served - before.served;
     const auto all = now.ended - before.ended;
-    const auto& records = this->book.instances();
+    const auto& records = this->tracker.instances();
     const auto unserved =
         std::count_if(records.begin(), records.end(), [](const instance_record& record) { return record.served == 0; });
     out << "# within a second " << served << " of " << all << " served, " << unserved
@@ -155,7 +155,7 @@
 }
 
 bool soak_run::await_service(std::ostream& out) {
-    for (auto& record : this->book.instances()) {
+    for (auto& record : this->tracker.instances()) {
         record.served = 0;
         record.asked = 0;
     }
@@ -173,19 +173,20 @@
 
 void soak_run::recover(std::ostream& out) {
     const auto begin = this->time.now();
-    const auto before = this->book.counts();
+    const auto before = this->tracker.counts();
     const bool good = this->await_service(out);
     const auto passed = std::chrono::duration_cast<milliseconds>(this->time.now() - begin);
     out << "recovered: " << (good ? "yes" : "NO") << " after " << passed.count() << " ms\n";
-    const auto& now = this->book.counts();
+    const auto& now = this->tracker.counts();
     if (!good && (now.served - before.served) * 4 < now.ended - before.ended) {
-        this->book.report("RECOVER", "", "less than a quarter of the requests are served after the faults");
+        this->tracker.report("RECOVER", "", "less than a quarter of the requests are served after the faults");
     }
     constexpr int enough_asked = 4;
     for (std::size_t index = 0U; !good && index < this->instance_count; ++index) {
-        const auto& record = this->book.instances()[index];
+        const auto& record = this->tracker.instances()[index];
         if (record.served == 0 && record.asked >= enough_asked) {
-            this->book.report("RECOVER", "", "instance " + std::to_string(index) + " serves nothing after the faults");
+            this->tracker.report("RECOVER", "",
+                                 "instance " + std::to_string(index) + " serves nothing after the faults");
         }
     }
 }
@@ -195,7 +196,7 @@
     constexpr milliseconds last_answers{2'500};
     const auto watching = this->loop.every(watch_period, [this] { this->watch_instances(); });
     if (!this->await_service(out)) {
-        this->book.report("RECOVER", "", "not all instances serve after their start");
+        this->tracker.report("RECOVER", "", "not all instances serve after their start");
     }
     const auto begin = this->time.now();
     milliseconds last{};
@@ -209,25 +210,25 @@
     this->pass(last_answers);
     this->loop.cancel(watching);
     this->callers.clear();
-    this->book.finish();
+    this->tracker.finish();
     this->print(out);
-    return this->book.violations().empty();
+    return this->tracker.violations().empty();
 }
 
 void soak_run::print(std::ostream& out) {
     constexpr std::size_t most_printed = 20U;
-    const auto& counts = this->book.counts();
+    const auto& counts = this->tracker.counts();
     out << counts.sent << " sent, " << counts.served << " served, " << counts.refused << " refused, " << counts.other
         << " others, " << counts.unanswered << " unanswered; " << this->killed_after_stop_time
         << " killed after the time to stop, " << this->ended_in_start << " ended by a signal in their start; "
-        << this->book.violations().size() << " violations\n";
+        << this->tracker.violations().size() << " violations\n";
     std::size_t printed = 0U;
-    for (const auto& item : this->book.violations()) {
+    for (const auto& item : this->tracker.violations()) {
         if (++printed > most_printed) {
             break;
         }
         out << "VIOLATION " << item.rule << ' ' << item.id << ": " << item.text << '\n'
-            << this->book.story_of(item.id) << (item.id.empty() ? "" : this->gateways.lines_about(item.id));
+            << this->tracker.trace_of(item.id) << (item.id.empty() ? "" : this->gateways.lines_about(item.id));
     }
 }
 
@@ -252,7 +253,7 @@
         {fault_kind::store_loses_responses, &soak_run::disturb_store},
         {fault_kind::store_from_copy, &soak_run::return_from_copy},
         {fault_kind::change_config, &soak_run::change_config},
-        {fault_kind::callers_press, &soak_run::press},
+        {fault_kind::caller_burst, &soak_run::burst},
         {fault_kind::restart_target, &soak_run::restart_target},
         {fault_kind::drain_target, &soak_run::leave_target},
         {fault_kind::remove_target, &soak_run::leave_target},
@@ -267,22 +268,22 @@
     if (!state.ending) {
         state.ending = true;
         state.kill_at = this->time.now() + stop_time;
-        this->book.plan(fault.subject, true);
+        this->tracker.plan(fault.subject, true);
     }
     this->gateways.instances[fault.subject]->signal(SIGTERM);
 }
 
 void soak_run::kill_instance(const scheduled_fault& fault, const bool /*begins*/) {
     this->states[fault.subject].ending = true;
-    this->book.disturb(fault.subject);
+    this->tracker.disturb(fault.subject);
     this->gateways.instances[fault.subject]->kill();
 }
 
 void soak_run::freeze_instance(const scheduled_fault& fault, const bool begins) {
     auto& process = *this->gateways.instances[fault.subject];
     auto& state = this->states[fault.subject];
-    this->book.disturb(fault.subject);
-    this->book.restart(fault.subject);
+    this->tracker.disturb(fault.subject);
+    this->tracker.restart(fault.subject);
     state.frozen += begins ? 1 : -1;
     if (begins && process.running()) {
         static_cast<void>(process.freeze());
@@ -294,13 +295,13 @@
 
 void soak_run::reload_instance(const scheduled_fault& fault, const bool /*begins*/) {
     if (!this->states[fault.subject].ending) {
-        this->book.plan(fault.subject, false);
+        this->tracker.plan(fault.subject, false);
     }
     this->gateways.instances[fault.subject]->signal(SIGHUP);
 }
 
 void soak_run::reset_callers(const scheduled_fault& fault, const bool /*begins*/) {
-    this->book.disturb(fault.subject);
+    this->tracker.disturb(fault.subject);
     for (const auto& caller : this->callers) {
         caller->reset(fault.subject);
     }
@@ -337,8 +338,8 @@
     this->store.put_config(++this->version, this->context.prefix);
 }
 
-void soak_run::press(const scheduled_fault& /*fault*/, const bool begins) {
-    this->context.pressing += begins ? 1 : -1;
+void soak_run::burst(const scheduled_fault& /*fault*/, const bool begins) {
+    this->context.bursts += begins ? 1 : -1;
 }
 
 void soak_run::restart_target(const scheduled_fault& fault, const bool /*begins*/) {
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -14,7 +14,7 @@
 #include <mangopulley/core/clock.hpp>
 #include <mangopulley/loop/event_loop.hpp>
 
-#include "order_book.hpp"
+#include "order_tracker.hpp"
 #include "schedule.hpp"
 #include "soak_caller.hpp"
 #include "soak_target.hpp"
@@ -89,7 +89,7 @@
     void disturb_store(const scheduled_fault& fault, bool begins);
     void return_from_copy(const scheduled_fault& fault, bool begins);
     void change_config(const scheduled_fault& fault, bool begins);
-    void press(const scheduled_fault& fault, bool begins);
+    void burst(const scheduled_fault& fault, bool begins);
     void restart_target(const scheduled_fault& fault, bool begins);
     void leave_target(const scheduled_fault& fault, bool begins);
     void reset_target(const scheduled_fault& fault, bool begins);
@@ -100,7 +100,7 @@
     std::minstd_rand random;
     std::size_t instance_count;
     integration::object_store store{this->loop};
-    order_book book;
+    order_tracker tracker;
     std::vector<std::unique_ptr<soak_target>> targets{};
     caller_context context;
     std::vector<std::unique_ptr<soak_caller>> callers{};
--- a/test/soak/soak_target.cpp
+++ b/test/soak/soak_target.cpp
@@ -29,9 +29,9 @@
 
 } // namespace
 
-soak_target::soak_target(mangopulley::event_loop& owner, integration::object_store& registry, order_book& orders,
+soak_target::soak_target(mangopulley::event_loop& owner, integration::object_store& registry, order_tracker& orders,
                          std::minstd_rand& source, const std::size_t number)
-    : loop{owner}, store{registry}, book{orders}, random{source}, index{number},
+    : loop{owner}, store{registry}, tracker{orders}, random{source}, index{number},
       peer{owner, "", [this](connection& from, const http_request& request) { this->serve(from, request); }} {
     this->restart();
 }
@@ -48,7 +48,7 @@
 
 void soak_target::reset() {
     for (auto& [item, state] : this->states) {
-        this->book.excuse(state.order_id);
+        this->tracker.excuse(state.order_id);
     }
     this->peer.reset_connections();
 }
@@ -88,24 +88,24 @@
     // The target would keep all requests of the run with their bodies.
     this->peer.received.clear();
     auto& state = this->states.try_emplace(&from, connection_state{this->states.size()}).first->second;
-    auto* const item = this->book.arrive(request);
+    auto* const item = this->tracker.arrive(request);
     if (item == nullptr) {
         from.close();
         return;
     }
-    this->book.tell(*item, "reaches " + this->id + " on its connection " + std::to_string(state.number));
+    this->tracker.record_event(*item, "reaches " + this->id + " on its connection " + std::to_string(state.number));
     item->excused = item->excused || state.faulty;
     state.order_id = item->id;
     if (const auto copy = std::exchange(state.copy, {}); !copy.empty()) {
         item->excused = true;
         state.faulty = true;
-        this->book.tell(*item, "follows a copy of the response before it");
+        this->tracker.record_event(*item, "follows a copy of the response before it");
         from.write(copy);
     }
     const bool meant = request.head.get("Mangopulley-Target-Instance", this->id) == this->id;
     const auto act = meant ? this->choose() : &soak_target::misdirect;
     if (!state.read_late) {
-        this->book.judge_advice(*item, this->id, this->loop.earliest_arrival(), act == &soak_target::misdirect);
+        this->tracker.judge_advice(*item, this->id, this->loop.earliest_arrival(), act == &soak_target::misdirect);
     }
     (this->*act)(from, *item);
 }
@@ -135,7 +135,7 @@
 void soak_target::work(connection& from, order& item, const std::string& text) {
     constexpr unsigned int long_period = 10U;
     constexpr unsigned int longest_period = 40U;
-    this->book.run(item, this->id);
+    this->tracker.run(item, this->id);
     if (this->leaving) {
         item.leaving_target = this->id;
     }
@@ -199,7 +199,7 @@
 }
 
 void soak_target::reject(connection& from, order& item) {
-    this->book.tell(item, "rejected by " + this->id);
+    this->tracker.record_event(item, "rejected by " + this->id);
     from.write(this->rejection(item, "503 Full\r\nMangopulley-Not-Executed: 1"));
 }
 
@@ -210,7 +210,7 @@
 
 void soak_target::reject_for_a_while(connection& from, order& item) {
     constexpr milliseconds pause{1'500};
-    this->book.pause(item, this->id, pause);
+    this->tracker.pause(item, this->id, pause);
     from.write(this->rejection(item, "503 Full\r\nMangopulley-Not-Executed: 1\r\nRetry-After: 1.5"));
 }
 
@@ -233,7 +233,7 @@
     this->loop.after(delay, [this, &from, text] {
         auto& state = this->states[&from];
         state.faulty = true;
-        this->book.excuse(state.order_id);
+        this->tracker.excuse(state.order_id);
         // Nobody could tell the rest of a body from bytes that follow it; a rejection in a head can be told from
         // success.
         const bool recognizable = state.cut == cut_part::head && !text.starts_with("HTTP/1.1 200");
@@ -262,7 +262,7 @@
 
 void soak_target::cut(connection& from, order& item, const std::string& text) {
     constexpr unsigned int reset_period = 3U;
-    this->book.run(item, this->id);
+    this->tracker.run(item, this->id);
     item.excused = true;
     from.write(text);
     const bool reset = this->chance(reset_period);
@@ -275,7 +275,7 @@
 }
 
 void soak_target::hang(connection& /*from*/, order& item) {
-    this->book.run(item, this->id);
+    this->tracker.run(item, this->id);
 }
 
 void soak_target::read_slowly(connection& from, order& item) {
--- a/test/soak/soak_target.hpp
+++ b/test/soak/soak_target.hpp
@@ -11,7 +11,7 @@
 #include <integration/object_store.hpp>
 #include <mangopulley/loop/event_loop.hpp>
 
-#include "order_book.hpp"
+#include "order_tracker.hpp"
 #include "schedule.hpp"
 
 namespace soak {
@@ -19,7 +19,7 @@
 /*! @brief Target in the soak's own process: it serves, and does to some requests what the faults in force say. */
 class soak_target {
 public:
-    soak_target(mangopulley::event_loop& owner, integration::object_store& registry, order_book& orders,
+    soak_target(mangopulley::event_loop& owner, integration::object_store& registry, order_tracker& orders,
                 std::minstd_rand& source, std::size_t number);
 
     /*! @brief Begins or ends a fault that acts on single requests; the same fault may be in force several times. */
@@ -75,7 +75,7 @@
 
     mangopulley::event_loop& loop;
     integration::object_store& store;
-    order_book& book;
+    order_tracker& tracker;
     std::minstd_rand& random;
     std::size_t index;
     std::uint64_t starts{};
