--- a/test/integration/target_contract.cpp
+++ b/test/integration/target_contract.cpp
@@ -134,6 +134,17 @@
         request.idempotent = idempotent;
         return request;
     }
+
+    /*! @brief Sends requests over kept connections; each gets its own answer, or a refusal if it did not run. */
+    void check_own_answers_only() {
+        http_target_client client{this->still, connect_timeout, 8U};
+        for (int number = 0; number < 100; ++number) {
+            const auto request = this->make(this->still, "r" + std::to_string(number), soon, number % 2 == 0);
+            const auto seen = send(client, this->target->address(), request);
+            CHECK_TRUE_TEXT(seen.answers(request) || seen.failed_with(code::shed), request.request_id.c_str());
+            CHECK_EQUAL(seen.error ? 0U : 1U, this->events("start", request.request_id).size());
+        }
+    }
 };
 
 // Guards against answers that are passed on incomplete, and against outcomes that claim more than is known.
@@ -302,13 +313,7 @@
 TEST(target_contract, late_copies_meet_no_other_request) {
     this->start({"--service-time-us", "500"});
     this->behave({{"shed_percent", 50}, {"late_copies", 1'000'000}});
-    http_target_client client{this->still, connect_timeout, 8U};
-    for (int number = 0; number < 100; ++number) {
-        const auto request = this->make(this->still, "r" + std::to_string(number), soon, number % 2 == 0);
-        const auto seen = send(client, this->target->address(), request);
-        CHECK_TRUE_TEXT(seen.answers(request) || seen.failed_with(code::shed), request.request_id.c_str());
-        CHECK_EQUAL(seen.error ? 0U : 1U, this->events("start", request.request_id).size());
-    }
+    this->check_own_answers_only();
     CHECK_TRUE(this->count("late_copies") > 0U);
 }
 
@@ -316,13 +321,7 @@
 TEST(target_contract, serves_targets_that_name_no_requests) {
     this->start({"--service-time-us", "500"});
     this->behave({{"shed_percent", 50}, {"name_requests", false}, {"late_copies", 1'000'000}});
-    http_target_client client{this->still, connect_timeout, 8U};
-    for (int number = 0; number < 100; ++number) {
-        const auto request = this->make(this->still, "r" + std::to_string(number), soon, number % 2 == 0);
-        const auto seen = send(client, this->target->address(), request);
-        CHECK_TRUE_TEXT(seen.answers(request) || seen.failed_with(code::shed), request.request_id.c_str());
-        CHECK_EQUAL(seen.error ? 0U : 1U, this->events("start", request.request_id).size());
-    }
+    this->check_own_answers_only();
 }
 
 // Guards against a draining or loaded target that is not seen as such.
