Review: case 7, an entry of another writer puts a leaving upstream back in use

Cause: decode_target asks for five of the nine fields of an entry; one without version, warmup_s_time, sequence and born still names an upstream, and counts as another incarnation of one that is draining.

--- a/review/standin-2/harness.hh
+++ b/review/standin-2/harness.hh
@@ -564,6 +564,13 @@
         const std::lock_guard lock{guard};
         return arrivals;
     }
+    /// Starts again under the same id after its server was stopped.
+    void start_again() {
+        const auto ip = port->ip;
+        port = std::make_unique<server>(ip, [this](connection& from) { serve(from); });
+        born = unix_ms();
+        leaving = false;
+    }
     std::string field(const std::string& request_id) const {
         return "Mangopulley-Request-Id: " + request_id + "\r\nMangopulley-Response-Stamp: s-" + id + "\r\n";
     }
@@ -656,6 +663,19 @@
         threads.clear();
     }
 
+    /// Returns when a request was sent; 0 for one that was not.
+    double time_of(const std::string& request_id) {
+        const std::lock_guard lock{guard};
+        const auto found = sent.find(request_id);
+        return found == sent.end() ? 0.0 : found->second;
+    }
+    /// Returns the status of the answer to a request; 0 for none.
+    int answer_to(const std::string& request_id) {
+        const std::lock_guard lock{guard};
+        const auto found = told.find(request_id);
+        return found == told.end() ? 0 : found->second.status;
+    }
+
     std::map<std::string, double> sent;
     std::map<std::string, answer> told;
 
