Review: cases 8 and 9, the cases of part one under later numbers

Cause: two graver cases come before them; a source named case.cc would also be taken up by the first review's build script.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for number in 6 7 8 9 10; do
-    source="review/$number/case.cc"
+    source="review/$number/main.cc"
     if [ -f "$source" ]; then
         "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I review/standin-2 -o "target/review-2/case-$number" "$source"
     fi
--- a/review/standin-2/harness.hh
+++ b/review/standin-2/harness.hh
@@ -252,6 +252,8 @@
     int fd;
     std::string buffer;
     std::string failure;
+    /// Refusal of a status check that was sent on this connection; empty if none was.
+    std::string refused_check;
 };
 
 /// Server with a thread for each connection; a connection ends when its handler returns.
@@ -581,6 +583,9 @@
     record& out;
     special behave{};
     bool tells_load{};
+    /// Each how many status checks one is refused, as other callers have taken all slots; 0 for none.
+    int refused_checks{};
+    std::atomic<int> checks{};
     long born{unix_ms()};
     std::atomic<bool> leaving{};
     std::atomic<int> at_work{};
@@ -594,6 +599,12 @@
             const std::string load =
                 tells_load ? "Mangopulley-Server-Load: " + std::to_string(at_work.load()) + ",0,2,100\r\n" : "";
             const std::string mark = load + (leaving ? "Server-Leaving: 1\r\n" : "");
+            if (request.word(1) == "/health" && refused_checks > 0 && ++checks % refused_checks == 0) {
+                from.refused_check = "HTTP/1.1 503 Service Unavailable\r\nMangopulley-Not-Executed: 1\r\n" + mark +
+                                     "Content-Length: 0\r\n\r\n";
+                from.send(from.refused_check);
+                continue;
+            }
             if (request.word(1) == "/health") {
                 from.send("HTTP/1.1 " + std::string{leaving ? "503" : "200"} + " X\r\nMangopulley-Instance-Id: " + id +
                           "\r\n" + mark + "Content-Length: 0\r\n\r\n");
